--- /dev/null
+++ b/internal/acceptor/acceptor.go
@@ -0,0 +1,133 @@
+// Package acceptor takes HTTP/1.1 requests from connections and writes their
+// answers. It reads on while requests run, so that pipelined requests run at
+// the same time and a caller that leaves is noticed at once; answers go out in
+// the order of the requests.
+package acceptor
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// maxPipelined bounds the requests of one connection that wait for their
+	// answers.
+	maxPipelined = 64
+	// lingerTime is how long a closed connection is still read, so that
+	// unread bytes don't reset it before the caller has its answer.
+	lingerTime = 500 * time.Millisecond
+	// writeTimeout is how long a caller may take to read an answer.
+	writeTimeout = 10 * time.Second
+	// bodyTimeout is how long a request's body may take.
+	bodyTimeout = 10 * time.Second
+)
+
+type (
+	// Limits bound what a caller may send.
+	Limits struct {
+		// HeaderBytes bounds the head of a request.
+		HeaderBytes int
+		// BodyBytes bounds its body.
+		BodyBytes int64
+		// HeaderTimeout is how long the head may take.
+		HeaderTimeout time.Duration
+		// IdleTimeout is how long a connection may be idle.
+		IdleTimeout time.Duration
+	}
+
+	// Request is a request with its whole body.
+	Request struct {
+		*http.Request
+		// Content is the body.
+		Content []byte
+		// Arrived is when the head was read.
+		Arrived time.Time
+	}
+
+	// Response is a whole answer.
+	Response struct {
+		// Status is the HTTP status code.
+		Status int
+		// Header holds the end-to-end header fields.
+		Header http.Header
+		// Body is the body. An answer to a HEAD request has none.
+		Body []byte
+	}
+
+	// Server serves connections. Its exported fields are set before use and
+	// are never nil. It is safe for concurrent use.
+	Server struct {
+		// Draining tells that callers should not use their connections
+		// again.
+		Draining func() bool
+		// Handle answers a request. The context ends when the caller leaves.
+		Handle func(ctx context.Context, r *Request) *Response
+		// Limits returns what bounds the next request.
+		Limits func() Limits
+
+		busy   atomic.Int64
+		mu     sync.Mutex
+		closed bool
+		conns  map[*conn]struct{}
+	}
+)
+
+// Busy returns the number of requests that have no complete answer yet.
+func (s *Server) Busy() int {
+	return int(s.busy.Load())
+}
+
+// Close closes all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for c := range s.conns {
+		c.socket.Close()
+	}
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		socket, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// Out of descriptors, or the caller has left already.
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		c := newConn(s, socket)
+		if !s.keep(c) {
+			socket.Close()
+			return nil
+		}
+		go c.serve()
+	}
+}
+
+func (s *Server) drop(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+func (s *Server) keep(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	if s.conns == nil {
+		s.conns = map[*conn]struct{}{}
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
--- /dev/null
+++ b/internal/admitter/rates.go
@@ -0,0 +1,175 @@
+package admitter
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/flamingotack/flamingotack/internal/director"
+	"github.com/flamingotack/flamingotack/internal/rationer"
+	"github.com/flamingotack/flamingotack/internal/timekeeper"
+)
+
+const (
+	// askTimeout bounds the time that a request waits for tokens of other
+	// nodes.
+	askTimeout = 15 * time.Millisecond
+	// maxAsked is the number of nodes that are asked for one request.
+	maxAsked = 2
+	// askTokens is the number of tokens that are asked for at once.
+	askTokens = 3
+	// firstPause is how long no node is asked after all said that they have
+	// no tokens; each further time doubles it up to lastPause.
+	firstPause = 50 * time.Millisecond
+	lastPause  = 800 * time.Millisecond
+	// rateRetry is how long a customer over its rate should wait at least.
+	rateRetry = 500 * time.Millisecond
+	// milli is the number of thousandths in a token.
+	milli = 1000
+)
+
+type (
+	// Lenders are the other nodes.
+	Lenders interface {
+		// Ask asks a node for tokens of a customer's rate, in thousandths.
+		Ask(ctx context.Context, name, customer string, tokens int64) (granted int64)
+		// Names returns the nodes that can be asked.
+		Names() []string
+		// Nodes returns the number of all nodes, this one included.
+		Nodes() int
+	}
+
+	// Shares keeps this node's shares of the customers' rates and borrows from
+	// other nodes what it lacks. Make it by NewShares. It is safe for
+	// concurrent use.
+	Shares struct {
+		clock   timekeeper.Clock
+		lenders Lenders
+		slack   Slack
+
+		mu     sync.Mutex
+		ration rationer.Rationer
+		pauses map[string]pause
+	}
+
+	// Slack is how far above their limits the operators let customers go, as
+	// counting over many nodes is not exact.
+	Slack struct {
+		// Window is the time over which requests are counted.
+		Window time.Duration
+		// Part is a part of the requests that the limit allows in a window.
+		Part float64
+		// Requests is a number of requests in a window.
+		Requests float64
+	}
+
+	// pause is for how long no other node is asked.
+	pause struct {
+		length time.Duration
+		until  time.Time
+	}
+)
+
+// slackPart is the part of the slack that is used.
+const slackPart = 0.7
+
+// NewShares returns Shares of rates that are not known yet.
+func NewShares(clock timekeeper.Clock, lenders Lenders, slack Slack) *Shares {
+	return &Shares{clock: clock, lenders: lenders, slack: slack, pauses: map[string]pause{}}
+}
+
+// Charge takes a token of the customer.
+func (s *Shares) Charge(ctx context.Context, c *director.Customer) (retry time.Duration, admitted bool) {
+	nodes := s.lenders.Nodes()
+	if s.spend(c, nodes) {
+		return 0, true
+	}
+	if s.borrow(ctx, c) && s.spend(c, nodes) {
+		return 0, true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(rateRetry, s.ration.Wait(c.Name)), false
+}
+
+// Give gives tokens away to another node, in thousandths.
+func (s *Shares) Give(customer string, tokens int64) (granted int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(s.ration.Give(s.clock.Now(), customer, float64(tokens)/milli) * milli)
+}
+
+// Refund gives back the token of a request that has not run.
+func (s *Shares) Refund(c *director.Customer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ration.Add(s.clock.Now(), c.Name, 1)
+}
+
+// Set takes the rates in force.
+func (s *Shares) Set(t *director.Table) {
+	if !t.Ready() {
+		return
+	}
+	limits := map[string]rationer.Limit{}
+	for i := range t.State.Config.Customers {
+		if c := &t.State.Config.Customers[i]; c.Rate > 0 {
+			limits[c.Name] = s.limit(c)
+		}
+	}
+	nodes := s.lenders.Nodes()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ration.Set(s.clock.Now(), limits, nodes)
+}
+
+// borrow asks other nodes for tokens and reports whether one gave some.
+func (s *Shares) borrow(ctx context.Context, c *director.Customer) bool {
+	if s.paused(c.Name) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	names := s.lenders.Names()
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	for _, name := range names[:min(maxAsked, len(names))] {
+		granted := s.lenders.Ask(ctx, name, c.Name, askTokens*milli)
+		if granted > 0 {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			delete(s.pauses, c.Name)
+			s.ration.Add(s.clock.Now(), c.Name, float64(granted)/milli)
+			return true
+		}
+	}
+	s.pause(c.Name)
+	return false
+}
+
+// limit returns what the customer may use over all nodes.
+func (s *Shares) limit(c *director.Customer) rationer.Limit {
+	allowed := c.Rate*s.slack.Window.Seconds() + c.Burst
+	return rationer.Limit{Rate: c.Rate, Burst: c.Burst + slackPart*(allowed*s.slack.Part+s.slack.Requests)}
+}
+
+func (s *Shares) pause(customer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pauses[customer]
+	p.length = min(lastPause, max(firstPause, 2*p.length))
+	p.until = s.clock.Now().Add(p.length)
+	s.pauses[customer] = p
+}
+
+func (s *Shares) paused(customer string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.clock.Now().Before(s.pauses[customer].until)
+}
+
+func (s *Shares) spend(c *director.Customer, nodes int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ration.Admit(s.clock.Now(), c.Name, s.limit(c), nodes)
+}
--- /dev/null
+++ b/internal/composer/composer.go
@@ -0,0 +1,319 @@
+// Package composer puts the parts of a node together: it serves callers, runs
+// calls on the backend server beside it and acts with the other nodes.
+package composer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/oklog/run"
+
+	"github.com/flamingotack/flamingotack/internal/acceptor"
+	"github.com/flamingotack/flamingotack/internal/admitter"
+	"github.com/flamingotack/flamingotack/internal/director"
+	"github.com/flamingotack/flamingotack/internal/exchanger"
+	"github.com/flamingotack/flamingotack/internal/forwarder"
+	"github.com/flamingotack/flamingotack/internal/guardian"
+	"github.com/flamingotack/flamingotack/internal/invoker"
+	"github.com/flamingotack/flamingotack/internal/linker"
+	"github.com/flamingotack/flamingotack/internal/logger"
+	"github.com/flamingotack/flamingotack/internal/publisher"
+	"github.com/flamingotack/flamingotack/internal/timekeeper"
+)
+
+const (
+	// defaultLimits hold until there is a configuration.
+	defaultHeaderBytes   = 64 << 10
+	defaultBodyBytes     = 1 << 20
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = time.Minute
+)
+
+type (
+	// Directory is where operators publish configurations and nodes find each
+	// other.
+	Directory interface {
+		// Follow hands each new state to take, until ctx ends. Any number of
+		// states may be missed; revisions only grow.
+		Follow(ctx context.Context, take func(director.State)) error
+		// Join makes the node known and returns the members.
+		Join(ctx context.Context, self linker.Member) ([]linker.Member, error)
+		// Leave says that the node leaves for good.
+		Leave(ctx context.Context, self linker.Member) error
+	}
+
+	// Node is one node. Make it by New.
+	Node struct {
+		settings Settings
+		self     linker.Member
+
+		acceptor  *acceptor.Server
+		admitter  *admitter.Admitter
+		fans      *admitter.FanCounter
+		forwarder *forwarder.Forwarder
+		guardian  *guardian.Guardian
+		linker    *linker.Linker
+		shares    *admitter.Shares
+
+		table    publisher.Value[director.Table]
+		mu       sync.Mutex
+		announce chan struct{}
+		stopping atomic.Bool
+		listener net.Listener
+		peers    net.Listener
+	}
+
+	// Settings are those of a node.
+	Settings struct {
+		// Name is unique among the nodes.
+		Name string
+		// Domain is the failure domain and Region that domain's region.
+		Domain, Region string
+		// Service is that of the backend server beside the node.
+		Service string
+		// Backend, Caller and Peer are the addresses of the backend server,
+		// for callers and for other nodes.
+		Backend, Caller, Peer string
+		// Dialect names the header fields.
+		Dialect exchanger.Dialect
+		// Directory is where configurations and members come from.
+		Directory Directory
+		// Grace is how long the node may take to stop.
+		Grace time.Duration
+		// Logger takes the log lines.
+		Logger *logger.Part
+		// RepeatRatio and RepeatSlack bound the repeats of all nodes in 10 s:
+		// a part of the requests, and a number besides.
+		RepeatRatio, RepeatSlack float64
+		// Slack is how far customers may go above their rates.
+		Slack admitter.Slack
+	}
+
+	// lenders are the other nodes as seen by the customers' rates.
+	lenders struct {
+		*linker.Linker
+		forwarder *forwarder.Forwarder
+	}
+)
+
+// New returns a node that listens on its addresses.
+func New(s Settings) (n *Node, err error) {
+	defer func() { err = errors.Wrapf(err, "set up node %q", s.Name) }()
+	n = &Node{settings: s, announce: make(chan struct{}, 1)}
+	n.table.Publish(director.NewTable(director.State{}))
+	if n.listener, err = listen(s.Caller); err != nil {
+		return nil, err
+	}
+	if n.peers, err = listen(s.Peer); err != nil {
+		n.listener.Close()
+		return nil, err
+	}
+	n.self = linker.Member{
+		Name:        s.Name,
+		Incarnation: uuid.Must(uuid.NewV7()).String(),
+		Address:     n.peers.Addr().String(),
+		Service:     s.Service,
+		Domain:      s.Domain,
+	}
+	n.assemble()
+	return n, nil
+}
+
+// Address returns where callers reach the node.
+func (n *Node) Address() string {
+	return n.listener.Addr().String()
+}
+
+// Heartbeat takes what the backend server tells about itself.
+func (n *Node) Heartbeat(h guardian.Heartbeat) guardian.Verdict {
+	return n.guardian.Heartbeat(h)
+}
+
+// Leave takes the backend server's word that it has left.
+func (n *Node) Leave(id string, born int64) guardian.Verdict {
+	return n.guardian.Leave(id, born)
+}
+
+// Ready reports whether callers should use the node.
+func (n *Node) Ready() bool {
+	return !n.stopping.Load() && n.table.Load().Ready()
+}
+
+// Run runs the node until ctx ends, then stops it gracefully.
+func (n *Node) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrapf(err, "run node %q", n.settings.Name) }()
+	n.settings.Logger.Infof("Starts as incarnation %s for service %s in failure domain %s.", n.self.Incarnation, n.self.Service, n.self.Domain)
+	work, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	var g run.Group
+	actor := func(f func(context.Context) error) {
+		c, cancel := context.WithCancel(work)
+		g.Add(func() error { return f(c) }, func(error) { cancel() })
+	}
+	actor(n.guardian.Run)
+	actor(n.linker.Run)
+	actor(func(c context.Context) error { return n.settings.Directory.Follow(c, n.take) })
+	actor(n.join)
+	actor(n.announcements)
+	g.Add(func() error { return n.acceptor.Serve(n.listener) }, func(error) {
+		n.listener.Close()
+		n.acceptor.Close()
+	})
+	g.Add(func() error { return n.linker.Serve(work, n.peers) }, func(error) { n.peers.Close() })
+	g.Add(func() error { return n.drain(ctx, work) }, func(error) { end() })
+	err = g.Run()
+	n.settings.Logger.Infof("Stopped.")
+	return err
+}
+
+func (n *Node) assemble() {
+	s, clock := n.settings, timekeeper.System{}
+	backend := &invoker.Invoker{Address: s.Backend, Dialect: s.Dialect}
+	n.guardian = guardian.New(guardian.Settings{
+		Backend: backend,
+		Changed: n.wake,
+		Clock:   clock,
+		Dialect: s.Dialect,
+		Domain:  s.Domain,
+		Service: s.Service,
+		Logger:  s.Logger.Part("guardian"),
+		Table:   n.table.Load,
+	})
+	n.fans = admitter.NewFanCounter(n.guardian.Runs)
+	n.linker = linker.New(n.self, clock, s.Logger.Part("linker"), linker.Handlers{
+		Fans:      func() linker.Fans { return n.fans.Means() },
+		Grant:     func(customer string, tokens int64) int64 { return n.shares.Give(customer, tokens) },
+		Load:      n.guardian.Load,
+		Run:       n.guardian,
+		State:     func() director.State { return n.table.Load().State },
+		TakeFans:  func(m linker.Member, f linker.Fans) { n.forwarder.TakeFans(m, f) },
+		TakeLoad:  func(m linker.Member, l guardian.Load) { n.forwarder.TakeLoad(m, l) },
+		TakeState: n.take,
+	})
+	n.forwarder = forwarder.New(forwarder.Settings{
+		Clock:       clock,
+		Links:       n.linker,
+		Load:        n.guardian.Load,
+		Local:       n.guardian,
+		Logger:      s.Logger.Part("forwarder"),
+		RepeatRatio: s.RepeatRatio,
+		RepeatSlack: s.RepeatSlack,
+		Self:        n.self,
+	}, s.Region)
+	n.shares = admitter.NewShares(clock, lenders{n.linker, n.forwarder}, s.Slack)
+	n.admitter = admitter.New(admitter.Settings{
+		Clock:     clock,
+		Called:    n.fans.Called,
+		Dialect:   s.Dialect,
+		Forwarder: n.forwarder,
+		Logger:    s.Logger.Part("admitter"),
+		Rates:     n.shares,
+		Service:   s.Service,
+		Table:     n.table.Load,
+	})
+	n.acceptor = &acceptor.Server{
+		Draining: n.stopping.Load,
+		Handle:   n.admitter.Handle,
+		Limits:   n.limits,
+	}
+}
+
+// announcements tells the other nodes of changes of the backend server.
+func (n *Node) announcements(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.announce:
+			n.linker.Announce()
+		}
+	}
+}
+
+// join makes the node known.
+func (n *Node) join(ctx context.Context) error {
+	members, err := n.settings.Directory.Join(ctx, n.self)
+	if err == nil {
+		for _, m := range members {
+			n.linker.Meet(m, false)
+		}
+		n.shares.Set(n.table.Load())
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func (n *Node) limits() acceptor.Limits {
+	t := n.table.Load()
+	if !t.Ready() {
+		return acceptor.Limits{
+			HeaderBytes:   defaultHeaderBytes,
+			BodyBytes:     defaultBodyBytes,
+			HeaderTimeout: defaultHeaderTimeout,
+			IdleTimeout:   defaultIdleTimeout,
+		}
+	}
+	l := t.State.Config.Limits
+	return acceptor.Limits{
+		HeaderBytes:   l.HeaderBytes,
+		BodyBytes:     l.BodyBytes,
+		HeaderTimeout: l.HeaderTimeout,
+		IdleTimeout:   l.IdleTimeout,
+	}
+}
+
+// take puts a state in force unless a newer one is. The version of the
+// configuration never falls.
+func (n *Node) take(s director.State) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	current := n.table.Load()
+	if s.Revision <= current.State.Revision {
+		return
+	}
+	if current.Ready() && (s.Config == nil || s.Config.Version < current.State.Config.Version) {
+		s.Config = current.State.Config
+	}
+	n.table.Publish(director.NewTable(s))
+	version := uint64(0)
+	if s.Config != nil {
+		version = s.Config.Version
+	}
+	n.settings.Logger.Infof("Revision %d is in force: configuration %d, out of service %v.", s.Revision, version, s.Evacuated)
+	n.guardian.Refresh()
+	n.shares.Set(n.table.Load())
+}
+
+func (n *Node) wake() {
+	select {
+	case n.announce <- struct{}{}:
+	default:
+	}
+}
+
+// Names returns the nodes that can be asked for tokens.
+func (l lenders) Names() (names []string) {
+	for _, m := range l.Members() {
+		if l.Up(m.Name) {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// Nodes returns the number of all nodes.
+func (l lenders) Nodes() int {
+	return l.forwarder.Nodes()
+}
+
+// listen listens without the keepalive options that each accepted connection
+// would get: callers that are gone are found by their silence.
+func listen(address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAlive: -1}
+	return config.Listen(context.Background(), "tcp4", address)
+}
--- /dev/null
+++ b/internal/composer/stop.go
@@ -0,0 +1,61 @@
+package composer
+
+import (
+	"context"
+	"time"
+
+	"github.com/flamingotack/flamingotack/internal/timekeeper"
+)
+
+const (
+	// lingerTime is how long a node that stops still takes requests: callers
+	// find out that it is not ready by asking once a second.
+	lingerTime = 2300 * time.Millisecond
+	// graceMargin is the part of the grace that is left for the end.
+	graceMargin = 500 * time.Millisecond
+	// drainPoll is how often a node that stops looks whether it is idle.
+	drainPoll    = 25 * time.Millisecond
+	leaveTimeout = time.Second
+)
+
+// drain waits for the end of ctx and stops the node: it takes no work for its
+// backend server, still takes callers' requests for the linger, and ends once
+// all have their answers.
+func (n *Node) drain(ctx, work context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+		return nil
+	}
+	started := time.Now()
+	n.stopping.Store(true)
+	n.settings.Logger.Infof("Stops within %s.", n.settings.Grace)
+	left := n.guardian.Left()
+	n.guardian.Stop()
+	if left {
+		n.leave(work)
+	}
+	for work.Err() == nil {
+		elapsed := time.Since(started)
+		load := n.guardian.Load()
+		idle := n.acceptor.Busy() == 0 && load.Running == 0
+		if elapsed >= n.settings.Grace-graceMargin || elapsed >= lingerTime && idle {
+			n.settings.Logger.Infof("Ends after %s, %d requests have no answer.", elapsed, n.acceptor.Busy())
+			return nil
+		}
+		timekeeper.Sleep(work, drainPoll)
+	}
+	return nil
+}
+
+// leave says that the node leaves for good, as its backend server has.
+func (n *Node) leave(ctx context.Context) {
+	n.linker.Leave()
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+		defer cancel()
+		if err := n.settings.Directory.Leave(ctx, n.self); err != nil {
+			n.settings.Logger.Warnf("Can't withdraw from the directory: %v.", err)
+		}
+	}()
+}
--- /dev/null
+++ b/internal/director/table.go
@@ -0,0 +1,112 @@
+package director
+
+import (
+	"slices"
+	"strings"
+)
+
+type (
+	// State is what all nodes agree on: the newest configuration and the
+	// failure domains that are out of service.
+	State struct {
+		// Revision grows with each change. A state with a higher one
+		// replaces this.
+		Revision uint64 `json:"revision"`
+		// Config is the newest configuration; nil before the first.
+		Config *Config `json:"config,omitempty"`
+		// Evacuated are the failure domains that get no work.
+		Evacuated []string `json:"evacuated,omitempty"`
+	}
+
+	// Table arranges a State for look-ups. It is immutable.
+	Table struct {
+		// State is what the table was made of.
+		State State
+
+		hosts     map[string][]*Route
+		customers map[string]*Customer
+		owners    map[string]*Customer
+		services  map[string]*Service
+	}
+)
+
+// NewTable returns the table of a state with a valid configuration or none.
+func NewTable(s State) *Table {
+	t := &Table{
+		State:     s,
+		hosts:     map[string][]*Route{},
+		customers: map[string]*Customer{},
+		owners:    map[string]*Customer{},
+		services:  map[string]*Service{},
+	}
+	if s.Config == nil {
+		return t
+	}
+	for i := range s.Config.Routes {
+		r := &s.Config.Routes[i]
+		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range s.Config.Customers {
+		c := &s.Config.Customers[i]
+		t.customers[c.Name] = c
+		for _, k := range c.Keys {
+			t.owners[k] = c
+		}
+	}
+	for i := range s.Config.Services {
+		t.services[s.Config.Services[i].Name] = &s.Config.Services[i]
+	}
+	return t
+}
+
+// Customer returns the customer of that name; nil for an unknown one.
+func (t *Table) Customer(name string) *Customer {
+	return t.customers[name]
+}
+
+// Evacuated reports whether the failure domain gets no work.
+func (t *Table) Evacuated(domain string) bool {
+	return slices.Contains(t.State.Evacuated, domain)
+}
+
+// Keyed reports whether routes that are not open need a key.
+func (t *Table) Keyed() bool {
+	return len(t.customers) > 0
+}
+
+// Owner returns the customer that holds a key; nil for an unknown one.
+func (t *Table) Owner(key string) *Customer {
+	return t.owners[key]
+}
+
+// Ready reports whether there is a configuration.
+func (t *Table) Ready() bool {
+	return t.State.Config != nil
+}
+
+// Route returns the route with the longest prefix of the target's path; nil
+// without one.
+func (t *Table) Route(host, target string) *Route {
+	path, _, _ := strings.Cut(target, "?")
+	for _, r := range t.hosts[strings.ToLower(withoutPort(host))] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns the service of that name; nil for an unknown one.
+func (t *Table) Service(name string) *Service {
+	return t.services[name]
+}
+
+func withoutPort(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i > 0 && !strings.HasSuffix(host, "]") {
+		return host[:i]
+	}
+	return host
+}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -44,6 +44,7 @@
 	ReasonRate            Reason = "rate"
 	ReasonReplayUnknown   Reason = "replay-unknown"
 	ReasonRouteUnknown    Reason = "route-unknown"
+	ReasonServerFull      Reason = "server-full"
 	ReasonServiceUnknown  Reason = "service-unknown"
 	ReasonSilent          Reason = "silent"
 	ReasonStale           Reason = "stale"
--- a/internal/exchanger/header.go
+++ b/internal/exchanger/header.go
@@ -35,14 +35,7 @@
 // only and without those that nodes set themselves.
 func EndToEnd(h http.Header) http.Header {
 	c := h.Clone()
-	for _, v := range h.Values("Connection") {
-		for name := range strings.SplitSeq(v, ",") {
-			c.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		c.Del(name)
-	}
+	Strip(c)
 	for name := range c {
 		if strings.HasPrefix(name, ownPrefix) {
 			c.Del(name)
@@ -50,3 +43,15 @@
 	}
 	return c
 }
+
+// Strip takes the fields that concern one connection only out of h.
+func Strip(h http.Header) {
+	for _, v := range h["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(h, name)
+	}
+}
--- /dev/null
+++ b/internal/forwarder/forwarder.go
@@ -0,0 +1,249 @@
+// Package forwarder picks the node that runs a call, and another one when that
+// is allowed and helps.
+package forwarder
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/flamingotack/flamingotack/internal/director"
+	"github.com/flamingotack/flamingotack/internal/exchanger"
+	"github.com/flamingotack/flamingotack/internal/guardian"
+	"github.com/flamingotack/flamingotack/internal/linker"
+	"github.com/flamingotack/flamingotack/internal/logger"
+	"github.com/flamingotack/flamingotack/internal/retrier"
+	"github.com/flamingotack/flamingotack/internal/router"
+	"github.com/flamingotack/flamingotack/internal/timekeeper"
+)
+
+const (
+	// maxClosed bounds the nodes that are asked after others said that they
+	// take no work for a cause of their own.
+	maxClosed = 4
+	// maxFull bounds the nodes that are asked after others said that they are
+	// full.
+	maxFull = 1
+	// closedRetry and fullRetry are how long a caller should wait, at least,
+	// when no server takes requests and when all are full.
+	closedRetry = 400 * time.Millisecond
+	fullRetry   = 800 * time.Millisecond
+)
+
+type (
+	// Forwarder sends calls to nodes. Make it by New. It is safe for
+	// concurrent use.
+	Forwarder struct {
+		Settings
+
+		mu        sync.Mutex
+		random    *rand.Rand
+		router    router.Router
+		allowance retrier.Allowance
+		crowds    map[string][]router.Candidate
+		members   map[string]linker.Member
+		changed   uint64
+		fans      map[string]memberFans
+	}
+
+	// Links are the ways to other nodes.
+	Links interface {
+		// Changed returns a number that grows with each change of Members.
+		Changed() uint64
+		// Members returns the other nodes.
+		Members() []linker.Member
+		// Send runs a call on a node.
+		Send(ctx context.Context, name string, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal)
+		// Up reports whether a node can be reached.
+		Up(name string) bool
+	}
+
+	// Settings are what a Forwarder works with.
+	Settings struct {
+		// Clock tells the time.
+		Clock timekeeper.Clock
+		// Links lead to the other nodes.
+		Links Links
+		// Load returns the load of the own backend server.
+		Load func() guardian.Load
+		// Local runs calls on the own backend server.
+		Local exchanger.CallHandler
+		// Logger takes the decisions.
+		Logger *logger.Part
+		// RepeatRatio and RepeatSlack bound the repeats of all nodes.
+		RepeatRatio, RepeatSlack float64
+		// Self is the node.
+		Self linker.Member
+	}
+
+	// memberFans is what a node told of its backend server's calls.
+	memberFans struct {
+		service string
+		fans    linker.Fans
+	}
+)
+
+// New returns a Forwarder that knows only its own node.
+func New(s Settings, region string) *Forwarder {
+	return &Forwarder{
+		Settings:  s,
+		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		router:    router.Router{Domain: s.Self.Domain, Region: region},
+		allowance: retrier.Allowance{Ratio: s.RepeatRatio, Slack: s.RepeatSlack},
+		fans:      map[string]memberFans{},
+	}
+}
+
+// Forward runs a call on one of the nodes of its service.
+func (f *Forwarder) Forward(ctx context.Context, c *exchanger.Call, route *director.Route) (*exchanger.Reply, *exchanger.Refusal) {
+	t := &trip{forwarder: f, call: c, attempts: route.Attempts}
+	return t.run(ctx)
+}
+
+// Nodes returns the number of nodes, this one included.
+func (f *Forwarder) Nodes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh()
+	return len(f.members)
+}
+
+// TakeFans takes what a node tells of its backend server's calls.
+func (f *Forwarder) TakeFans(m linker.Member, fans linker.Fans) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fans[m.Name] = memberFans{service: m.Service, fans: fans}
+}
+
+// TakeLoad takes what a node tells about its backend server.
+func (f *Forwarder) TakeLoad(m linker.Member, l guardian.Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.router.Report(f.Clock.Now(), m.Name, report(m, l))
+}
+
+// Tree returns the number of calls that a call of a service brings to each
+// service, itself included.
+func (f *Forwarder) Tree(service string) map[string]float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tree(service)
+}
+
+func (f *Forwarder) end(name string, o router.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.router.End(f.Clock.Now(), name, o, f.random.Float64())
+}
+
+// pick returns the node for the next attempt.
+func (f *Forwarder) pick(c *exchanger.Call, tried []string) (m linker.Member, found bool) {
+	local := f.Load()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh()
+	now := f.Clock.Now()
+	if c.Service == f.Self.Service {
+		f.router.Report(now, f.Self.Name, report(f.Self, local))
+	}
+	candidates := make([]router.Candidate, 0, len(f.crowds[c.Service]))
+	for _, one := range f.crowds[c.Service] {
+		if one.Name == f.Self.Name || f.Links.Up(one.Name) {
+			candidates = append(candidates, one)
+		}
+	}
+	picked, verdict := f.router.Pick(now, f.random, candidates, c.Priority, tried)
+	return f.members[picked.Name], verdict == router.VerdictPicked
+}
+
+// refresh takes the present members. The caller holds the lock.
+func (f *Forwarder) refresh() {
+	changed := f.Links.Changed()
+	if f.members != nil && changed == f.changed {
+		return
+	}
+	f.changed = changed
+	f.members = map[string]linker.Member{f.Self.Name: f.Self}
+	for _, m := range f.Links.Members() {
+		f.members[m.Name] = m
+	}
+	f.crowds = map[string][]router.Candidate{}
+	for _, m := range f.members {
+		f.crowds[m.Service] = append(f.crowds[m.Service], router.Candidate{
+			Name:        m.Name,
+			Incarnation: m.Incarnation,
+			Domain:      m.Domain,
+			Region:      f.router.Region,
+		})
+	}
+	known := func(name string) bool {
+		_, found := f.members[name]
+		return found
+	}
+	f.router.Prune(known)
+	maps.DeleteFunc(f.fans, func(name string, _ memberFans) bool { return !known(name) })
+}
+
+func (f *Forwarder) send(ctx context.Context, m linker.Member, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
+	if m.Name == f.Self.Name {
+		ctx, cancel := context.WithDeadline(ctx, c.Deadline.Add(localMargin))
+		defer cancel()
+		reply, refusal := f.Local.HandleCall(ctx, c)
+		if reply != nil {
+			reply.Server = m.Name
+		}
+		return reply, refusal
+	}
+	return f.Links.Send(ctx, m.Name, c)
+}
+
+// spend takes the cost of a repeat of the call, and of the calls that it makes
+// in turn, from what is allowed.
+func (f *Forwarder) spend(c *exchanger.Call) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.allowance.Spend(f.Clock.Now(), f.tree(c.Service), len(f.members))
+}
+
+// Earn counts a request of a caller for a service.
+func (f *Forwarder) Earn(service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh()
+	f.allowance.Earn(f.Clock.Now(), service, len(f.members))
+}
+
+func report(m linker.Member, l guardian.Load) router.Report {
+	return router.Report{
+		Incarnation: m.Incarnation,
+		Sequence:    l.Sequence,
+		Limit:       l.Limit,
+		Running:     l.Running,
+		Queued:      l.Queued,
+		Shed:        exchanger.PriorityLow,
+		Draining:    l.Closed,
+	}
+}
+
+// closed reports whether a node turned a call away for a cause of its own that
+// has nothing to do with load.
+func closed(r *exchanger.Refusal) bool {
+	switch r.Reason {
+	case exchanger.ReasonDraining, exchanger.ReasonNotReady, exchanger.ReasonOutOfService, exchanger.ReasonUnreachable:
+		return r.Ran == exchanger.RanNo
+	default:
+		return false
+	}
+}
+
+// full reports whether a node turned a call away because of its load.
+func full(r *exchanger.Refusal) bool {
+	return r.Ran == exchanger.RanNo && (r.Reason == exchanger.ReasonOverload || r.Reason == exchanger.ReasonServerFull)
+}
+
+func noServer(service string) *exchanger.Refusal {
+	return exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonNoServer, "service %q has no backend server that takes requests", service)
+}
--- /dev/null
+++ b/internal/forwarder/trip.go
@@ -0,0 +1,115 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"github.com/flamingotack/flamingotack/internal/exchanger"
+	"github.com/flamingotack/flamingotack/internal/router"
+)
+
+const (
+	// localMargin is how long after a call's deadline the answer of the own
+	// backend server may come.
+	localMargin = 20 * time.Millisecond
+	// leastLeft is the time that must be left for a repeat to be of use.
+	leastLeft = 20 * time.Millisecond
+)
+
+// trip is the way of one call through its attempts.
+type trip struct {
+	forwarder *Forwarder
+	call      *exchanger.Call
+	// attempts is the number of backend servers that may still get the call.
+	attempts int
+	tried    []string
+	// unknown is the first refusal after which the call may have run.
+	unknown      *exchanger.Refusal
+	closed, full int
+}
+
+func (t *trip) run(ctx context.Context) (*exchanger.Reply, *exchanger.Refusal) {
+	for {
+		reply, refusal := t.attempt(ctx)
+		if refusal == nil {
+			return reply, nil
+		}
+		if !t.again(ctx, refusal) {
+			return nil, t.final(refusal)
+		}
+		t.forwarder.Logger.Infof("Request %s to %s: tries another node than %v after %q (ran: %s).", t.call.ID, t.call.Service, t.tried, refusal.Reason, refusal.Ran)
+	}
+}
+
+// again reports whether to make another attempt after a refusal.
+func (t *trip) again(ctx context.Context, r *exchanger.Refusal) bool {
+	left := t.call.Deadline.Sub(t.forwarder.Clock.Now())
+	if ctx.Err() != nil || left < leastLeft || r.Reason == exchanger.ReasonNoServer {
+		return false
+	}
+	if r.Ran != exchanger.RanNo {
+		if t.unknown == nil {
+			t.unknown = r
+		}
+		t.attempts--
+		broken := r.Reason == exchanger.ReasonBroken || r.Reason == exchanger.ReasonSilent
+		return broken && t.call.Repeatable && t.attempts > 0 && t.forwarder.spend(t.call)
+	}
+	if closed(r) {
+		t.closed++
+		return t.closed <= maxClosed
+	}
+	if full(r) {
+		t.full++
+		if r.Reason == exchanger.ReasonServerFull {
+			t.attempts--
+			return t.full <= maxFull && t.attempts > 0 && t.forwarder.spend(t.call)
+		}
+		return t.full <= maxFull
+	}
+	return false
+}
+
+// attempt sends the call to one node.
+func (t *trip) attempt(ctx context.Context) (*exchanger.Reply, *exchanger.Refusal) {
+	m, found := t.forwarder.pick(t.call, t.tried)
+	if !found {
+		return nil, noServer(t.call.Service)
+	}
+	t.tried = append(t.tried, m.Name)
+	reply, refusal := t.forwarder.send(ctx, m, t.call)
+	t.forwarder.end(m.Name, outcome(refusal))
+	return reply, refusal
+}
+
+// final returns the refusal to pass on after the last one: what may have run in
+// any attempt is not called not run because another attempt did not.
+func (t *trip) final(last *exchanger.Refusal) *exchanger.Refusal {
+	if last.Ran == exchanger.RanNo && t.unknown != nil {
+		return t.unknown
+	}
+	final := *last
+	if final.Ran == exchanger.RanNo {
+		least := fullRetry
+		if closed(last) || last.Reason == exchanger.ReasonNoServer {
+			least = closedRetry
+		}
+		t.forwarder.mu.Lock()
+		defer t.forwarder.mu.Unlock()
+		final.RetryAfter = time.Duration(float64(least) * (1 + t.forwarder.random.Float64()))
+	}
+	return &final
+}
+
+func outcome(r *exchanger.Refusal) router.Outcome {
+	switch {
+	case r == nil, r.Ran == exchanger.RanNo && r.Reason != exchanger.ReasonUnreachable:
+		return router.OutcomeAnswered
+	case r.Reason == exchanger.ReasonBroken:
+		return router.OutcomeBroken
+	case r.Reason == exchanger.ReasonSilent, r.Reason == exchanger.ReasonUnreachable:
+		return router.OutcomeSilent
+	default:
+		return router.OutcomeUnclear
+	}
+}
--- /dev/null
+++ b/internal/guardian/gate.go
@@ -0,0 +1,308 @@
+package guardian
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/flamingotack/flamingotack/internal/exchanger"
+	"github.com/flamingotack/flamingotack/internal/limiter"
+	"github.com/flamingotack/flamingotack/internal/scheduler"
+	"github.com/flamingotack/flamingotack/internal/timekeeper"
+)
+
+const (
+	// fullPart is the part of a server's slots that is used: servers slow
+	// down when they are nearly full.
+	fullPart = 0.95
+	// serviceGain weighs a new service time against the mean of those before.
+	serviceGain = 0.05
+	// queueTime is how long the requests in a full queue take together.
+	queueTime = 300 * time.Millisecond
+	// coldQueueTime is the same while the server is cold.
+	coldQueueTime = 400 * time.Millisecond
+	leastQueue    = 4
+	// warmPart is the part of the rate that a cold server bears which is
+	// used; the rest is for health checks.
+	warmPart = 0.95
+	// defaultService stands for the mean service time until it is known.
+	defaultService = 50 * time.Millisecond
+	maxRoutes      = 1024
+)
+
+type (
+	// gate lets calls through to the backend server one by one.
+	gate struct {
+		clock timekeeper.Clock
+
+		mu        sync.Mutex
+		scheduler scheduler.Scheduler[scheduler.Chain]
+		pacer     limiter.Pacer
+		bounds    bounds
+		closed    *exchanger.Refusal
+		running   int
+		number    uint64
+		waiting   map[uint64]chan *exchanger.Refusal
+		mean      time.Duration
+		services  map[string]time.Duration
+		timer     *time.Timer
+		next      time.Time
+	}
+
+	// bounds is what the backend server bears.
+	bounds struct {
+		// slots is the number of requests that it runs at once.
+		slots int
+		// coldUntil is when it stops being cold.
+		coldUntil time.Time
+		// warmRate is the number of requests a second that it bears while it
+		// is cold; 0 sets no limit.
+		warmRate float64
+	}
+
+	// pass is the right of one call to run.
+	pass struct {
+		gate    *gate
+		route   string
+		started time.Time
+	}
+)
+
+func newGate(clock timekeeper.Clock) *gate {
+	return &gate{
+		clock:    clock,
+		waiting:  map[uint64]chan *exchanger.Refusal{},
+		services: map[string]time.Duration{},
+	}
+}
+
+// close refuses all that waits, and what comes until open.
+func (g *gate) close(reason *exchanger.Refusal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = reason
+	for number, decided := range g.waiting {
+		g.scheduler.Cancel(number)
+		decided <- reason
+	}
+	clear(g.waiting)
+}
+
+// enter waits until the call may run.
+func (g *gate) enter(ctx context.Context, c *exchanger.Call) (*pass, *exchanger.Refusal) {
+	number, decided := g.offer(c)
+	select {
+	case refusal := <-decided:
+		if refusal != nil {
+			return nil, refusal
+		}
+	case <-ctx.Done():
+		if refusal := g.abandon(ctx, number, decided); refusal != nil {
+			return nil, refusal
+		}
+	}
+	return &pass{gate: g, route: c.Route, started: g.clock.Now()}, nil
+}
+
+// load returns the limit, what runs and waits, the mean service time and how
+// long a new call would wait.
+func (g *gate) load() (limit, running, queued int, service, wait time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	limit = g.limit()
+	service = g.service()
+	if now.Before(g.bounds.coldUntil) && g.bounds.warmRate > 0 {
+		limit = min(limit, max(1, int(g.bounds.warmRate*service.Seconds())))
+	}
+	if excess := g.running + g.scheduler.Len() - limit; excess >= 0 {
+		wait = service * time.Duration(excess+1) / time.Duration(max(1, limit))
+	}
+	return limit, g.running, g.scheduler.Len(), service, wait
+}
+
+// open lets calls through within the bounds.
+func (g *gate) open(b bounds) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = nil
+	g.bounds = b
+	g.dispatch(g.clock.Now())
+}
+
+// reserve takes a turn of a cold server for a health check.
+func (g *gate) reserve() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pacer.Reserve(g.clock.Now())
+}
+
+// leave says that the call has ended. good tells that its time is that of a
+// whole answer.
+func (p *pass) leave(good bool) {
+	g := p.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	g.running--
+	if good {
+		g.learn(p.route, now.Sub(p.started))
+	}
+	g.dispatch(now)
+}
+
+// abandon takes a call back whose caller is gone. It may have been let through
+// at the same moment.
+func (g *gate) abandon(ctx context.Context, number uint64, decided chan *exchanger.Refusal) *exchanger.Refusal {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, waits := g.waiting[number]; !waits {
+		if refusal := <-decided; refusal != nil {
+			return refusal
+		}
+		g.running--
+		g.dispatch(g.clock.Now())
+	} else {
+		g.scheduler.Cancel(number)
+		delete(g.waiting, number)
+	}
+	if ctx.Err() == context.DeadlineExceeded {
+		return exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonDeadline, "the deadline passed in the queue of the backend server")
+	}
+	return exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonCanceled, "the caller went away")
+}
+
+// dispatch lets through what the bounds allow. The caller holds the lock.
+func (g *gate) dispatch(now time.Time) {
+	if g.closed != nil {
+		return
+	}
+	for g.scheduler.Len() > 0 && g.running < g.limit() {
+		if wait := g.pause(now); wait > 0 {
+			g.wake(now, wait)
+			return
+		}
+		next, found, late := g.scheduler.Next(now)
+		g.refuse(late)
+		if !found {
+			return
+		}
+		if g.cold(now) {
+			g.pacer.Every = time.Duration(float64(time.Second) / (g.bounds.warmRate * warmPart))
+			g.pacer.Reserve(now)
+		}
+		g.running++
+		g.waiting[next.Number] <- nil
+		delete(g.waiting, next.Number)
+	}
+}
+
+func (g *gate) cold(now time.Time) bool {
+	return g.bounds.warmRate > 0 && now.Before(g.bounds.coldUntil)
+}
+
+func (g *gate) learn(route string, held time.Duration) {
+	g.mean = blend(g.mean, held)
+	if _, known := g.services[route]; known || len(g.services) < maxRoutes {
+		g.services[route] = blend(g.services[route], held)
+	}
+}
+
+// limit returns the number of calls that may run at once.
+func (g *gate) limit() int {
+	return max(1, int(fullPart*float64(g.bounds.slots)))
+}
+
+// offer puts the call into the queue.
+func (g *gate) offer(c *exchanger.Call) (number uint64, decided chan *exchanger.Refusal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	decided = make(chan *exchanger.Refusal, 1)
+	if g.closed != nil {
+		decided <- g.closed
+		return 0, decided
+	}
+	now := g.clock.Now()
+	g.number++
+	g.waiting[g.number] = decided
+	g.scheduler.Capacity = g.capacity(now)
+	g.scheduler.Pace = scheduler.Pace{Limit: g.limit(), Service: g.service()}
+	depth := 0
+	if c.Inner {
+		depth = 1
+	}
+	refused := g.scheduler.Offer(now, scheduler.Item{
+		Number:   g.number,
+		Customer: c.Customer,
+		Priority: c.Priority,
+		Depth:    depth,
+		Deadline: c.Deadline,
+		Service:  g.services[c.Route],
+	})
+	g.refuse(refused)
+	g.dispatch(now)
+	return g.number, decided
+}
+
+// capacity returns the number of calls that may wait.
+func (g *gate) capacity(now time.Time) int {
+	if g.cold(now) {
+		return max(1, int(g.bounds.warmRate*coldQueueTime.Seconds()))
+	}
+	served := float64(g.limit()) * float64(queueTime) / float64(g.service())
+	return max(leastQueue, int(served))
+}
+
+// pause returns how long the next call has to wait for its turn at a cold
+// server.
+func (g *gate) pause(now time.Time) time.Duration {
+	if !g.cold(now) {
+		return 0
+	}
+	return g.pacer.Due(now)
+}
+
+func (g *gate) refuse(refused []scheduler.Refused) {
+	for _, r := range refused {
+		refusal := exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonOverload, "more important requests fill the queue of the backend server")
+		if r.Cause == scheduler.CauseLate {
+			refusal.Detail = "the backend server can't end the request before its deadline"
+		}
+		g.waiting[r.Item.Number] <- refusal
+		delete(g.waiting, r.Item.Number)
+	}
+}
+
+func (g *gate) service() time.Duration {
+	if g.mean == 0 {
+		return defaultService
+	}
+	return g.mean
+}
+
+// wake dispatches again after a pause. The caller holds the lock.
+func (g *gate) wake(now time.Time, wait time.Duration) {
+	at := now.Add(wait)
+	if !g.next.IsZero() && g.next.After(now) && !at.Before(g.next) {
+		return
+	}
+	g.next = at
+	if g.timer != nil {
+		g.timer.Reset(wait)
+		return
+	}
+	g.timer = time.AfterFunc(wait, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.next = time.Time{}
+		g.dispatch(g.clock.Now())
+	})
+}
+
+func blend(mean, value time.Duration) time.Duration {
+	if mean == 0 {
+		return value
+	}
+	return mean + time.Duration(serviceGain*float64(value-mean))
+}
--- /dev/null
+++ b/internal/guardian/guardian.go
@@ -0,0 +1,171 @@
+// Package guardian is the only way to the backend server beside the node. It
+// alone decides what the server bears and whether it may be used at all, so
+// that this needs no agreement between nodes.
+package guardian
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/flamingotack/flamingotack/internal/director"
+	"github.com/flamingotack/flamingotack/internal/exchanger"
+	"github.com/flamingotack/flamingotack/internal/invoker"
+	"github.com/flamingotack/flamingotack/internal/logger"
+	"github.com/flamingotack/flamingotack/internal/timekeeper"
+)
+
+type (
+	// Guardian keeps the backend server. Its exported fields are set before
+	// use and are never nil. Make it by New.
+	Guardian struct {
+		Settings
+
+		gate   *gate
+		doubts chan struct{}
+		runs   atomic.Int64
+
+		mu        sync.Mutex
+		server    Server
+		evacuated bool
+		stopping  bool
+		state     string
+		sequence  uint64
+	}
+
+	// Load is what a node tells about its backend server.
+	Load struct {
+		// Sequence grows with each load of an incarnation of the node.
+		Sequence uint64
+		// Limit is the number of calls that may run at once.
+		Limit int
+		// Running and Queued are calls at the guard.
+		Running, Queued int
+		// Closed says that the node takes no new work for its server.
+		Closed bool
+		// Service is the mean time that a call takes.
+		Service time.Duration
+		// Wait is how long a new call would wait.
+		Wait time.Duration
+	}
+
+	// Settings are what a Guardian works with.
+	Settings struct {
+		// Backend runs the calls.
+		Backend *invoker.Invoker
+		// Changed is told that the server is opened or closed. It must not
+		// block.
+		Changed func()
+		// Clock tells the time.
+		Clock timekeeper.Clock
+		// Dialect names the header fields.
+		Dialect exchanger.Dialect
+		// Domain is the failure domain and Service the service of the
+		// backend server.
+		Domain, Service string
+		// Logger takes the decisions.
+		Logger *logger.Part
+		// Table returns the configuration in force.
+		Table func() *director.Table
+	}
+)
+
+// New returns a Guardian that knows nothing of its server yet.
+func New(s Settings) *Guardian {
+	g := &Guardian{
+		Settings: s,
+		gate:     newGate(s.Clock),
+		doubts:   make(chan struct{}, 1),
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.apply()
+	return g
+}
+
+// HandleCall runs a call on the backend server.
+func (g *Guardian) HandleCall(ctx context.Context, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
+	if c.Service != g.Service {
+		return nil, exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonUnreachable, "the node runs service %q, not %q", g.Service, c.Service)
+	}
+	p, refusal := g.gate.enter(ctx, c)
+	if refusal != nil {
+		return nil, refusal
+	}
+	reply, refusal := g.send(ctx, c)
+	p.leave(refusal == nil && reply.Status < http.StatusInternalServerError)
+	return reply, refusal
+}
+
+// Heartbeat takes what the backend server tells about itself.
+func (g *Guardian) Heartbeat(h Heartbeat) Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	v := g.server.Take(g.Clock.Now(), h)
+	if v != VerdictTaken {
+		g.Logger.Infof("Heartbeat %d of backend server %s, born %d: %s (draining %t, warmup %s).", h.Sequence, h.ID, h.Born, v, h.Draining, h.Warmup)
+	}
+	g.apply()
+	return v
+}
+
+// Leave takes the backend server's word that it has left. born is 0 when it does
+// not say which incarnation.
+func (g *Guardian) Leave(id string, born int64) Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	v := g.server.Leave(id, born)
+	g.Logger.Infof("Backend server %s, born %d, says that it leaves: %s.", id, born, v)
+	g.apply()
+	return v
+}
+
+// Left reports whether the backend server is about to leave or has left.
+func (g *Guardian) Left() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.server.Phase == PhaseDraining || g.server.Phase == PhaseLeft
+}
+
+// Load returns what the node tells about its backend server.
+func (g *Guardian) Load() Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sequence++
+	l := Load{Sequence: g.sequence, Closed: g.state != stateOpen}
+	l.Limit, l.Running, l.Queued, l.Service, l.Wait = g.gate.load()
+	return l
+}
+
+// Refresh takes a new configuration.
+func (g *Guardian) Refresh() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.apply()
+}
+
+// Runs returns the number of calls that were sent to the backend server.
+func (g *Guardian) Runs() int64 {
+	return g.runs.Load()
+}
+
+// Stop lets no further call through.
+func (g *Guardian) Stop() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopping = true
+	g.apply()
+}
+
+// send runs a call whose turn it is.
+func (g *Guardian) send(ctx context.Context, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
+	id := g.instance()
+	g.runs.Add(1)
+	answer, err := g.Backend.Send(ctx, g.request(c, id))
+	if err != nil {
+		return nil, g.failed(ctx, err)
+	}
+	return g.judge(answer, id)
+}
--- a/internal/limiter/pacer.go
+++ b/internal/limiter/pacer.go
@@ -19,3 +19,8 @@
 	p.next = p.next.Add(p.Every)
 	return wait
 }
+
+// Due returns how long the next turn is away, without taking it.
+func (p *Pacer) Due(now time.Time) time.Duration {
+	return max(0, p.next.Sub(now))
+}
--- /dev/null
+++ b/internal/linker/link.go
@@ -0,0 +1,260 @@
+package linker
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+
+	"github.com/flamingotack/flamingotack/internal/exchanger"
+	"github.com/flamingotack/flamingotack/internal/framer"
+	"github.com/flamingotack/flamingotack/internal/timekeeper"
+)
+
+const (
+	// keepIdle, keepInterval and keepCount let the operating system find
+	// connections that went silent.
+	keepIdle     = time.Second
+	keepInterval = time.Second
+	keepCount    = 2
+)
+
+type (
+	// link is the way to one other node.
+	link struct {
+		owner  *Linker
+		member Member
+		cancel context.CancelFunc
+
+		// current is the session that stands; nil without one.
+		current atomic.Pointer[session]
+
+		mu      sync.Mutex
+		pending map[uint64]*pending
+		number  uint64
+		pinged  time.Time
+		told    time.Time
+	}
+
+	// pending is an exchange whose answer is due.
+	pending struct {
+		session *session
+		// done takes one result.
+		done chan result
+		// partial is an answer of which more is to come.
+		partial *exchanger.Reply
+	}
+
+	// result is how an exchange ended.
+	result struct {
+		reply   *exchanger.Reply
+		refusal *exchanger.Refusal
+		granted int64
+	}
+)
+
+func newLink(l *Linker, m Member) *link {
+	return &link{owner: l, member: m, cancel: func() {}, pending: map[uint64]*pending{}}
+}
+
+func (k *link) ask(ctx context.Context, customer string, tokens int64) (granted int64) {
+	number, p := k.begin()
+	if p == nil {
+		return 0
+	}
+	defer k.end(number)
+	p.session.put(&framer.Frame{Number: number, Ask: &framer.Ask{Customer: customer, Tokens: tokens}})
+	select {
+	case r := <-p.done:
+		return r.granted
+	case <-ctx.Done():
+		return 0
+	}
+}
+
+// begin registers an exchange; nil while the link is down.
+func (k *link) begin() (number uint64, p *pending) {
+	s := k.current.Load()
+	if s == nil {
+		return 0, nil
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.number++
+	p = &pending{session: s, done: make(chan result, 1)}
+	k.pending[k.number] = p
+	return k.number, p
+}
+
+// check pings a link on which an answer is due and ends a silent one.
+func (k *link) check(now time.Time) {
+	s := k.current.Load()
+	if s == nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	quiet := now.Sub(s.heardAt())
+	switch {
+	case len(k.pending) == 0:
+		k.pinged = time.Time{}
+	case quiet < pingAfter:
+		k.pinged = time.Time{}
+	case k.pinged.IsZero():
+		k.pinged = now
+		s.put(&framer.Frame{Ping: true})
+	case quiet > silentAfter && now.Sub(k.pinged) > silentAfter-pingAfter:
+		k.owner.logger.Warnf("Link to node %s is silent for %s.", k.member.Name, quiet)
+		s.close()
+	}
+	if now.Sub(k.told) > newsInterval {
+		k.told = now
+		s.put(k.owner.news(false))
+	}
+}
+
+// dial sets a session up and serves it until it ends.
+func (k *link) dial(ctx context.Context) (stood bool) {
+	dialer := net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount},
+	}
+	socket, err := dialer.DialContext(ctx, "tcp4", k.member.Address)
+	if err != nil {
+		return false
+	}
+	conn := drpcconn.NewWithOptions(socket, drpcconn.Options{Manager: managerOptions()})
+	defer conn.Close()
+	stream, err := framer.NewDRPCMeshClient(conn).Link(ctx)
+	if err != nil {
+		return false
+	}
+	s := newSession(k.owner.clock, stream, func() { socket.Close() })
+	defer k.down(s)
+	first := k.owner.news(false)
+	first.News.Peers = k.owner.peers()
+	s.put(first)
+	k.told = k.owner.clock.Now()
+	k.current.Store(s)
+	k.owner.logger.Infof("Link to node %s stands.", k.member.Name)
+	go s.write()
+	s.read(func(f *framer.Frame) { k.take(s, f) })
+	return true
+}
+
+// down ends what waits on a session.
+func (k *link) down(s *session) {
+	k.current.CompareAndSwap(s, nil)
+	unsent := s.close()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	failed := 0
+	for number, p := range k.pending {
+		if p.session != s {
+			continue
+		}
+		failed++
+		delete(k.pending, number)
+		refusal := exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonSilent, "the connection to node %s broke or went silent", k.member.Name)
+		if unsent[number] {
+			refusal = unreachable(k.member.Name)
+		}
+		p.done <- result{refusal: refusal}
+	}
+	k.owner.logger.Warnf("Link to node %s is down, %d exchanges failed.", k.member.Name, failed)
+}
+
+func (k *link) end(number uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.pending, number)
+}
+
+// keep redials until ctx ends.
+func (k *link) keep(ctx context.Context) {
+	pause := firstRedial
+	for ctx.Err() == nil {
+		if k.dial(ctx) {
+			pause = firstRedial
+		}
+		timekeeper.Sleep(ctx, pause)
+		pause = min(lastRedial, 2*pause)
+	}
+}
+
+func (k *link) send(ctx context.Context, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
+	number, p := k.begin()
+	if p == nil {
+		return nil, unreachable(k.member.Name)
+	}
+	now := k.owner.clock.Now()
+	p.session.put(fromCall(number, c, now)...)
+	timer := time.NewTimer(c.Deadline.Sub(now) + replyMargin)
+	defer timer.Stop()
+	select {
+	case r := <-p.done:
+		return r.reply, r.refusal
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	k.end(number)
+	select {
+	case r := <-p.done:
+		return r.reply, r.refusal
+	default:
+	}
+	p.session.put(&framer.Frame{Number: number, Cancel: true})
+	if ctx.Err() != nil {
+		return nil, exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonCanceled, "the request was canceled while it ran")
+	}
+	return nil, exchanger.Unknown(http.StatusGatewayTimeout, exchanger.ReasonDeadline, "no answer from node %s in time", k.member.Name)
+}
+
+// start keeps the link until ctx ends or stop. It returns at once.
+func (k *link) start(ctx context.Context) {
+	ctx, k.cancel = context.WithCancel(ctx)
+	go k.keep(ctx)
+}
+
+func (k *link) stop() {
+	k.cancel()
+	if s := k.current.Load(); s != nil {
+		s.close()
+	}
+}
+
+// take takes a frame of the other node.
+func (k *link) take(s *session, f *framer.Frame) {
+	k.owner.takeFacts(k.member, f)
+	switch {
+	case f.GetReply() != nil, f.GetRefusal() != nil, f.GetData() != nil, f.GetGrant() != 0:
+		k.settle(f)
+	case f.GetNews() != nil:
+		k.owner.takeNews(s, f.GetNews(), false)
+	case f.GetAsk() != nil:
+	}
+}
+
+// settle ends the exchange that the frame answers.
+func (k *link) settle(f *framer.Frame) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p := k.pending[f.GetNumber()]
+	if p == nil {
+		return
+	}
+	if reply := toReply(f); reply != nil {
+		p.partial = reply
+	} else if p.partial != nil {
+		p.partial.Body = append(p.partial.Body, f.GetData()...)
+	}
+	if f.GetMore() {
+		return
+	}
+	delete(k.pending, f.GetNumber())
+	p.done <- result{reply: p.partial, refusal: toRefusal(f), granted: max(0, f.GetGrant())}
+}
--- /dev/null
+++ b/internal/linker/linker.go
@@ -0,0 +1,230 @@
+// Package linker keeps one drpc stream to each other node. Calls, their
+// answers, loads, configurations and tokens of customers' rates go over it as
+// frames; what waits to be sent at one moment goes out together.
+package linker
+
+import (
+	"context"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/flamingotack/flamingotack/internal/director"
+	"github.com/flamingotack/flamingotack/internal/exchanger"
+	"github.com/flamingotack/flamingotack/internal/guardian"
+	"github.com/flamingotack/flamingotack/internal/logger"
+	"github.com/flamingotack/flamingotack/internal/timekeeper"
+)
+
+const (
+	// checkInterval is how often links are looked after.
+	checkInterval = 250 * time.Millisecond
+	// newsInterval is how often nodes tell each other their loads when
+	// nothing else does.
+	newsInterval = 1500 * time.Millisecond
+	// pingAfter is how long a link on which an answer is due may carry nothing
+	// before it is pinged, and silentAfter before it counts as silent.
+	pingAfter   = 400 * time.Millisecond
+	silentAfter = 1300 * time.Millisecond
+	dialTimeout = time.Second
+	firstRedial = 100 * time.Millisecond
+	lastRedial  = 2 * time.Second
+	// replyMargin is how long after a call's deadline its answer may come.
+	replyMargin = 40 * time.Millisecond
+)
+
+type (
+	// Fans is the mean number of calls that one run on a node's backend
+	// server makes, by service.
+	Fans map[string]float64
+
+	// Handlers are what the frames of other nodes are for. None is nil.
+	Handlers struct {
+		// Fans returns what the node tells of its backend server's calls.
+		Fans func() Fans
+		// Grant gives away tokens of a customer's rate, in thousandths.
+		Grant func(customer string, tokens int64) (granted int64)
+		// Load returns what the node tells about its backend server.
+		Load func() guardian.Load
+		// Run runs the calls of other nodes.
+		Run exchanger.CallHandler
+		// State returns the configuration in force.
+		State func() director.State
+		// TakeFans takes what another node tells of its backend server's
+		// calls.
+		TakeFans func(Member, Fans)
+		// TakeLoad takes what another node tells about its backend server.
+		TakeLoad func(Member, guardian.Load)
+		// TakeState takes a configuration from another node.
+		TakeState func(director.State)
+	}
+
+	// Linker keeps the links. Make it by New. It is safe for concurrent use.
+	Linker struct {
+		clock    timekeeper.Clock
+		handlers Handlers
+		logger   *logger.Part
+		self     Member
+
+		mu      sync.Mutex
+		ctx     context.Context
+		links   map[string]*link
+		servers map[*session]struct{}
+		// changed counts the changes of the members.
+		changed uint64
+	}
+
+	// Member is a node.
+	Member struct {
+		// Name is unique among the nodes; Incarnation among the runs of all.
+		Name, Incarnation string
+		// Address is where the node takes links.
+		Address string
+		// Service and Domain are those of the node's backend server.
+		Service, Domain string
+	}
+)
+
+// New returns a Linker without links.
+func New(self Member, clock timekeeper.Clock, l *logger.Part, h Handlers) *Linker {
+	return &Linker{
+		clock:    clock,
+		handlers: h,
+		logger:   l,
+		self:     self,
+		links:    map[string]*link{},
+		servers:  map[*session]struct{}{},
+	}
+}
+
+// Announce tells all nodes at once what the node tells about itself.
+func (l *Linker) Announce() {
+	l.broadcast(l.news(false))
+}
+
+// Ask asks a node for tokens of a customer's rate, in thousandths.
+func (l *Linker) Ask(ctx context.Context, name, customer string, tokens int64) (granted int64) {
+	k := l.link(name)
+	if k == nil {
+		return 0
+	}
+	return k.ask(ctx, customer, tokens)
+}
+
+// Changed returns a number that grows with each change of the members.
+func (l *Linker) Changed() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
+// Forget drops a member that is gone for good.
+func (l *Linker) Forget(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if k := l.links[name]; k != nil {
+		l.logger.Infof("Forgets node %s.", name)
+		l.changed++
+		delete(l.links, name)
+		k.stop()
+	}
+}
+
+// Leave tells all nodes that this one leaves for good.
+func (l *Linker) Leave() {
+	l.broadcast(l.news(true))
+}
+
+// Meet learns of a member. One that is known under another address or
+// incarnation is replaced when certain is set.
+func (l *Linker) Meet(m Member, certain bool) {
+	if m.Name == l.self.Name || m.Name == "" || m.Address == "" {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.links[m.Name]
+	if known != nil && (known.member == m || !certain) {
+		return
+	}
+	if known != nil {
+		known.stop()
+	}
+	l.logger.Infof("Meets node %s, incarnation %s, service %s, failure domain %s.", m.Name, m.Incarnation, m.Service, m.Domain)
+	l.changed++
+	k := newLink(l, m)
+	l.links[m.Name] = k
+	if l.ctx != nil {
+		k.start(l.ctx)
+	}
+}
+
+// Members returns the other members, in order of their names.
+func (l *Linker) Members() []Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]Member, 0, len(l.links))
+	for _, name := range slices.Sorted(maps.Keys(l.links)) {
+		list = append(list, l.links[name].member)
+	}
+	return list
+}
+
+// Run keeps the links until ctx ends.
+func (l *Linker) Run(ctx context.Context) error {
+	l.mu.Lock()
+	l.ctx = ctx
+	for _, k := range l.links {
+		k.start(ctx)
+	}
+	l.mu.Unlock()
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		l.mu.Lock()
+		now := l.clock.Now()
+		for _, k := range l.links {
+			k.check(now)
+		}
+		l.mu.Unlock()
+	}
+}
+
+// Send runs a call on a node. refusal says not run only when the call can't run
+// there any more.
+func (l *Linker) Send(ctx context.Context, name string, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
+	k := l.link(name)
+	if k == nil {
+		return nil, unreachable(name)
+	}
+	return k.send(ctx, c)
+}
+
+// Serve takes links until the listener is closed.
+func (l *Linker) Serve(ctx context.Context, listener net.Listener) error {
+	return serve(ctx, l, listener)
+}
+
+// Up reports whether the link to a node stands.
+func (l *Linker) Up(name string) bool {
+	k := l.link(name)
+	return k != nil && k.current.Load() != nil
+}
+
+func (l *Linker) link(name string) *link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.links[name]
+}
+
+func unreachable(name string) *exchanger.Refusal {
+	return exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonUnreachable, "node %s can't be reached", name)
+}
--- /dev/null
+++ b/internal/linker/server.go
@@ -0,0 +1,265 @@
+package linker
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/flamingotack/flamingotack/internal/director"
+	"github.com/flamingotack/flamingotack/internal/exchanger"
+	"github.com/flamingotack/flamingotack/internal/framer"
+)
+
+type (
+	// taker serves the streams of other nodes.
+	taker struct {
+		linker *Linker
+		socket net.Conn
+	}
+
+	// runs are the calls of one session that run here.
+	runs struct {
+		taker   *taker
+		session *session
+		ctx     context.Context
+
+		mu sync.Mutex
+		// member is the other node, once it has told its name.
+		member  Member
+		cancels map[uint64]context.CancelFunc
+		partial map[uint64]*exchanger.Call
+	}
+)
+
+func serve(ctx context.Context, l *Linker, listener net.Listener) error {
+	for {
+		socket, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		go l.serveConn(ctx, socket)
+	}
+}
+
+func (l *Linker) serveConn(ctx context.Context, socket net.Conn) {
+	defer socket.Close()
+	mux := drpcmux.New()
+	if err := framer.DRPCRegisterMesh(mux, &taker{linker: l, socket: socket}); err != nil {
+		l.logger.Errorf("Can't serve links: %v.", err)
+		return
+	}
+	if tcp, ok := socket.(*net.TCPConn); ok {
+		_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount})
+	}
+	_ = drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()}).ServeOne(ctx, socket)
+}
+
+// Link serves the drpc call of that name.
+func (t *taker) Link(stream framer.DRPCMesh_LinkStream) error {
+	s := newSession(t.linker.clock, stream, func() { t.socket.Close() })
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	r := &runs{
+		taker:   t,
+		session: s,
+		ctx:     ctx,
+		cancels: map[uint64]context.CancelFunc{},
+		partial: map[uint64]*exchanger.Call{},
+	}
+	t.linker.keepServer(s, true)
+	defer t.linker.keepServer(s, false)
+	go s.write()
+	s.read(r.take)
+	s.close()
+	return nil
+}
+
+// take takes a frame of the other node.
+func (r *runs) take(f *framer.Frame) {
+	l := r.taker.linker
+	l.takeFacts(r.member, f)
+	switch {
+	case f.GetRun() != nil, f.GetData() != nil:
+		r.begin(f)
+	case f.GetCancel():
+		r.cancel(f.GetNumber())
+	case f.GetAsk() != nil:
+		granted := l.handlers.Grant(f.GetAsk().GetCustomer(), f.GetAsk().GetTokens())
+		if granted <= 0 {
+			granted = -1
+		}
+		r.session.put(&framer.Frame{Number: f.GetNumber(), Grant: granted})
+	case f.GetNews() != nil:
+		first := r.member.Name == ""
+		r.member = toMember(f.GetNews())
+		l.takeNews(r.session, f.GetNews(), true)
+		answer := l.news(false)
+		if first {
+			answer.News.Peers = l.peers()
+		}
+		if first || f.GetNews().GetRevision() > answer.GetNews().GetRevision() {
+			r.session.put(answer)
+		}
+	}
+}
+
+// begin starts a call once it is whole.
+func (r *runs) begin(f *framer.Frame) {
+	number := f.GetNumber()
+	c := r.partial[number]
+	if f.GetRun() != nil {
+		c = toCall(f.GetRun(), r.taker.linker.clock.Now())
+	} else if c != nil {
+		c.Body = append(c.Body, f.GetData()...)
+	}
+	if c == nil {
+		return
+	}
+	if f.GetMore() {
+		r.partial[number] = c
+		return
+	}
+	delete(r.partial, number)
+	ctx, cancel := context.WithDeadline(r.ctx, c.Deadline.Add(replyMargin/2))
+	r.mu.Lock()
+	r.cancels[number] = cancel
+	r.mu.Unlock()
+	go r.run(ctx, number, c)
+}
+
+func (r *runs) cancel(number uint64) {
+	delete(r.partial, number)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if cancel := r.cancels[number]; cancel != nil {
+		cancel()
+	}
+}
+
+func (r *runs) run(ctx context.Context, number uint64, c *exchanger.Call) {
+	l := r.taker.linker
+	reply, refusal := l.handlers.Run.HandleCall(ctx, c)
+	r.mu.Lock()
+	r.cancels[number]()
+	delete(r.cancels, number)
+	r.mu.Unlock()
+	load := fromLoad(l.handlers.Load())
+	if refusal != nil {
+		r.session.put(&framer.Frame{Number: number, Refusal: fromRefusal(refusal), Load: load})
+		return
+	}
+	reply.Server = l.self.Name
+	frames := fromReply(number, reply)
+	frames[0].Load = load
+	r.session.put(frames...)
+}
+
+func (l *Linker) broadcast(f *framer.Frame) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.links {
+		if s := k.current.Load(); s != nil {
+			s.put(f)
+		}
+	}
+}
+
+func (l *Linker) keepServer(s *session, keep bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if keep {
+		l.servers[s] = struct{}{}
+		return
+	}
+	delete(l.servers, s)
+}
+
+// news returns what the node tells about itself.
+func (l *Linker) news(gone bool) *framer.Frame {
+	n := &framer.News{
+		Name:        l.self.Name,
+		Incarnation: l.self.Incarnation,
+		Address:     l.self.Address,
+		Service:     l.self.Service,
+		Domain:      l.self.Domain,
+		Revision:    l.handlers.State().Revision,
+		Load:        fromLoad(l.handlers.Load()),
+		Gone:        gone,
+	}
+	for service, calls := range l.handlers.Fans() {
+		n.Fans = append(n.Fans, &framer.Fan{Service: service, Calls: float32(calls)})
+	}
+	return &framer.Frame{News: n}
+}
+
+func (l *Linker) peers() (list []*framer.Peer) {
+	for _, m := range l.Members() {
+		list = append(list, &framer.Peer{Name: m.Name, Incarnation: m.Incarnation, Address: m.Address, Service: m.Service, Domain: m.Domain})
+	}
+	return list
+}
+
+// takeFacts takes the load and the configuration that a frame brings.
+func (l *Linker) takeFacts(m Member, f *framer.Frame) {
+	if f.GetLoad() != nil && m.Name != "" {
+		l.handlers.TakeLoad(m, toLoad(f.GetLoad()))
+	}
+	if len(f.GetState()) == 0 {
+		return
+	}
+	var state director.State
+	if err := json.Unmarshal(f.GetState(), &state); err != nil {
+		l.logger.Warnf("Node %s sent a state that can't be read: %v.", m.Name, err)
+		return
+	}
+	l.handlers.TakeState(state)
+}
+
+// takeNews takes what another node tells about itself. direct says that the
+// node set this session up.
+func (l *Linker) takeNews(s *session, n *framer.News, direct bool) {
+	m := toMember(n)
+	if n.GetGone() {
+		l.Forget(m.Name)
+		return
+	}
+	l.Meet(m, direct)
+	for _, p := range n.GetPeers() {
+		l.Meet(Member{Name: p.GetName(), Incarnation: p.GetIncarnation(), Address: p.GetAddress(), Service: p.GetService(), Domain: p.GetDomain()}, false)
+	}
+	if n.GetLoad() != nil {
+		l.handlers.TakeLoad(m, toLoad(n.GetLoad()))
+	}
+	fans := Fans{}
+	for _, f := range n.GetFans() {
+		fans[f.GetService()] = float64(f.GetCalls())
+	}
+	l.handlers.TakeFans(m, fans)
+	if state := l.handlers.State(); state.Revision > n.GetRevision() {
+		l.tell(s, state)
+	}
+}
+
+// tell sends a configuration to a node that has an older one.
+func (l *Linker) tell(s *session, state director.State) {
+	data, err := json.Marshal(state)
+	if err != nil {
+		l.logger.Errorf("Can't encode revision %d: %v.", state.Revision, err)
+		return
+	}
+	s.put(&framer.Frame{State: data})
+}
+
+func toMember(n *framer.News) Member {
+	return Member{Name: n.GetName(), Incarnation: n.GetIncarnation(), Address: n.GetAddress(), Service: n.GetService(), Domain: n.GetDomain()}
+}
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -4,6 +4,11 @@
 	// Arrival is the order of first come, first served.
 	Arrival struct{}
 
+	// Chain orders by the part of the call chain that is already done, then
+	// by priority, then by the fair shares of the customers. It suits calls
+	// that carry no priority of the chain they belong to.
+	Chain struct{}
+
 	// Order says which of two waiting requests comes first. It is a strict
 	// total order.
 	Order interface {
@@ -20,6 +25,14 @@
 	return a.sequence < b.sequence
 }
 
+// Before reports whether a runs before b.
+func (Chain) Before(a, b *Item) bool {
+	if a.Depth != b.Depth {
+		return a.Depth > b.Depth
+	}
+	return Progress{}.Before(a, b)
+}
+
 // Before reports whether a runs before b.
 func (Progress) Before(a, b *Item) bool {
 	if a.Priority != b.Priority {
