Ask several nodes at once for fractions of a customer's tokens

Change: nodes give fractions and keep a quarter; four are asked at once, up to three times, those first that gave most last time.

--- a/internal/admitter/rates.go
+++ b/internal/admitter/rates.go
@@ -1,8 +1,10 @@
 package admitter
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,10 +17,12 @@
 	// askTimeout bounds the time that a request waits for tokens of other
 	// nodes.
 	askTimeout = 15 * time.Millisecond
-	// maxAsked is the number of nodes that are asked for one request.
-	maxAsked = 2
-	// askTokens is the number of tokens that are asked for at once.
-	askTokens = 3
+	// askedAtOnce is the number of nodes that are asked at the same time, and
+	// maxRounds how often further ones are asked for one request.
+	askedAtOnce = 4
+	maxRounds   = 3
+	// askTokens is the number of tokens that are asked for of each node.
+	askTokens = 1
 	// firstPause is how long no node is asked after all said that they have
 	// no tokens; each further time doubles it up to lastPause.
 	firstPause = 50 * time.Millisecond
@@ -51,6 +55,7 @@
 		mu     sync.Mutex
 		ration rationer.Rationer
 		pauses map[string]pause
+		gave   map[gift]int64
 	}
 
 	// Slack is how far above their limits the operators let customers go, as
@@ -64,6 +69,11 @@
 		Requests float64
 	}
 
+	// gift names what a node gave last of a customer's rate, in thousandths.
+	gift struct {
+		customer, node string
+	}
+
 	// pause is for how long no other node is asked.
 	pause struct {
 		length time.Duration
@@ -76,7 +86,7 @@
 
 // NewShares returns Shares of rates that are not known yet.
 func NewShares(clock timekeeper.Clock, lenders Lenders, slack Slack) *Shares {
-	return &Shares{clock: clock, lenders: lenders, slack: slack, pauses: map[string]pause{}}
+	return &Shares{clock: clock, lenders: lenders, slack: slack, pauses: map[string]pause{}, gave: map[gift]int64{}}
 }
 
 // Charge takes a token of the customer.
@@ -85,7 +95,7 @@
 	if s.spend(c, nodes) {
 		return 0, true
 	}
-	if s.borrow(ctx, c) && s.spend(c, nodes) {
+	if s.borrow(ctx, c, nodes) {
 		return 0, true
 	}
 	s.mu.Lock()
@@ -124,22 +134,27 @@
 	s.ration.Set(s.clock.Now(), limits, nodes)
 }
 
-// borrow asks other nodes for tokens and reports whether one gave some.
-func (s *Shares) borrow(ctx context.Context, c *director.Customer) bool {
+// borrow asks other nodes for tokens and reports whether there is one then. The
+// nodes that gave some last time are asked first (the idea of asking the
+// fullest, as idle workers do that look for work to steal).
+func (s *Shares) borrow(ctx context.Context, c *director.Customer, nodes int) bool {
 	if s.paused(c.Name) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	names := s.lenders.Names()
-	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	for _, name := range names[:min(maxAsked, len(names))] {
-		granted := s.lenders.Ask(ctx, name, c.Name, askTokens*milli)
-		if granted > 0 {
+	names := s.order(c.Name)
+	for range maxRounds {
+		count := min(askedAtOnce, len(names))
+		if count == 0 || ctx.Err() != nil {
+			break
+		}
+		s.askAll(ctx, c.Name, names[:count])
+		names = names[count:]
+		if s.spend(c, nodes) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			delete(s.pauses, c.Name)
-			s.ration.Add(s.clock.Now(), c.Name, float64(granted)/milli)
 			return true
 		}
 	}
@@ -147,6 +162,40 @@
 	return false
 }
 
+// askAll asks nodes at the same time and takes what they give.
+func (s *Shares) askAll(ctx context.Context, customer string, names []string) {
+	var asked sync.WaitGroup
+	for _, name := range names {
+		asked.Go(func() {
+			granted := s.lenders.Ask(ctx, name, customer, askTokens*milli)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.gave[gift{customer, name}] = granted
+			if granted > 0 {
+				s.ration.Add(s.clock.Now(), customer, float64(granted)/milli)
+			}
+		})
+	}
+	asked.Wait()
+}
+
+// order returns the nodes to ask, those first that gave most last time. Nodes
+// that were never asked count as full.
+func (s *Shares) order(customer string) []string {
+	names := s.lenders.Names()
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	value := func(name string) int64 {
+		if given, asked := s.gave[gift{customer, name}]; asked {
+			return given
+		}
+		return milli
+	}
+	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(value(b), value(a)) })
+	return names
+}
+
 // limit returns what the customer may use over all nodes.
 func (s *Shares) limit(c *director.Customer) rationer.Limit {
 	allowed := c.Rate*s.slack.Window.Seconds() + c.Burst
--- a/internal/rationer/rationer.go
+++ b/internal/rationer/rationer.go
@@ -9,7 +9,9 @@
 
 const (
 	// keptPart is the part of its tokens that a node keeps when others ask.
-	keptPart = 0.5
+	keptPart = 0.25
+	// leastGift is the least number of tokens that is given away at once.
+	leastGift = 0.05
 )
 
 type (
@@ -49,11 +51,12 @@
 	return true
 }
 
-// Add adds tokens that another node gave away, or that were spent in vain.
+// Add adds tokens that another node gave away, or that were spent in vain, to
+// at most a whole burst.
 func (r *Rationer) Add(now time.Time, customer string, tokens float64) {
 	if b := r.buckets[customer]; b != nil {
 		b.fill(now)
-		b.tokens += tokens
+		b.tokens = max(b.tokens, min(b.tokens+tokens, b.limit.Burst))
 	}
 }
 
@@ -65,7 +68,7 @@
 	}
 	b.fill(now)
 	given = min(tokens, b.tokens*(1-keptPart))
-	if given < 1 {
+	if given < leastGift {
 		return 0
 	}
 	b.tokens -= given
@@ -112,8 +115,10 @@
 		r.buckets[customer] = b
 	}
 	b.fill(now)
-	b.limit, b.nodes = limit, nodes
-	b.tokens = min(b.tokens, b.most())
+	if limit != b.limit || nodes != b.nodes {
+		b.limit, b.nodes = limit, nodes
+		b.tokens = min(b.tokens, b.most())
+	}
 	return b
 }
 
@@ -126,7 +131,7 @@
 	b.tokens = min(b.most(), b.tokens+elapsed*b.limit.Rate/float64(b.nodes))
 }
 
-// most is what the bucket holds when it is full, at least one token.
+// most is what the bucket holds when it has filled by itself.
 func (b *bucket) most() float64 {
-	return max(1, b.limit.Burst/float64(b.nodes))
+	return b.limit.Burst / float64(b.nodes)
 }
