Refuse requests that come long after SIGTERM

Besides, a node that had left was met again by what others told of it.

Ruled out: a kill before the grace had passed (the log shows the node's own end).

Change: after the linger (2.3 s) requests that begin a chain get 503 with a short Retry-After, as not run; calls of the own backend server are still passed on. An incarnation that has left is not met again.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -22,6 +22,9 @@
 	// notReadyRetry is how long a caller should wait while the node has no
 	// configuration.
 	notReadyRetry = 500 * time.Millisecond
+	// leavingRetry is how long a caller should wait, at another node, when
+	// this one is about to end.
+	leavingRetry = 100 * time.Millisecond
 	bearer        = "Bearer "
 )
 
@@ -66,6 +69,9 @@
 		Logger *logger.Part
 		// Rates charge the customers.
 		Rates Rates
+		// Leaving tells that the node is about to end and takes no request that
+		// begins a chain.
+		Leaving func() bool
 		// Service is that of the own backend server.
 		Service string
 		// Table returns the configuration in force.
@@ -121,7 +127,13 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	return &admission{call: a.call(r, id, route, customer), customer: customer, route: route}, nil
+	c := a.call(r, id, route, customer)
+	if !c.Inner && a.Leaving() {
+		refusal := exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonDraining, "the node stops")
+		refusal.RetryAfter = leavingRetry
+		return nil, refusal
+	}
+	return &admission{call: c, customer: customer, route: route}, nil
 }
 
 // authenticate finds the customer whose key the request bears; nil on an open
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -64,6 +64,9 @@
 		mu       sync.Mutex
 		announce chan struct{}
 		stopping atomic.Bool
+		// leaving is set once callers have had time to see that the node is
+		// not ready.
+		leaving atomic.Bool
 		listener net.Listener
 		peers    net.Listener
 	}
@@ -211,6 +214,7 @@
 		Called:    n.fans.Called,
 		Dialect:   s.Dialect,
 		Forwarder: n.forwarder,
+		Leaving:   n.leaving.Load,
 		Logger:    s.Logger.Part("admitter"),
 		Rates:     n.shares,
 		Service:   s.Service,
--- a/internal/composer/stop.go
+++ b/internal/composer/stop.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// lingerTime is how long a node that stops still takes requests: callers
-	// find out that it is not ready by asking once a second.
+	// lingerTime is how long a node that stops still takes requests that begin
+	// a chain: callers find out that it is not ready by asking once a second.
 	lingerTime = 2300 * time.Millisecond
 	// graceMargin is the part of the grace that is left for the end.
 	graceMargin = 500 * time.Millisecond
@@ -38,6 +38,7 @@
 	for work.Err() == nil {
 		elapsed := time.Since(started)
 		load := n.guardian.Load()
+		n.leaving.Store(elapsed >= lingerTime)
 		idle := n.acceptor.Busy() == 0 && load.Running == 0
 		if elapsed >= n.settings.Grace-graceMargin || elapsed >= lingerTime && idle {
 			n.settings.Logger.Infof("Ends after %s, %d requests have no answer.", elapsed, n.acceptor.Busy())
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -73,6 +73,9 @@
 		ctx     context.Context
 		links   map[string]*link
 		servers map[*session]struct{}
+		// gone are the incarnations that have left for good: others may still
+		// tell of them.
+		gone map[string]struct{}
 		// changed counts the changes of the members.
 		changed uint64
 	}
@@ -97,6 +100,7 @@
 		self:     self,
 		links:    map[string]*link{},
 		servers:  map[*session]struct{}{},
+		gone:     map[string]struct{}{},
 	}
 }
 
@@ -122,13 +126,14 @@
 }
 
 // Forget drops a member that is gone for good.
-func (l *Linker) Forget(name string) {
+func (l *Linker) Forget(m Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if k := l.links[name]; k != nil {
-		l.logger.Infof("Forgets node %s.", name)
+	l.gone[m.Incarnation] = struct{}{}
+	if k := l.links[m.Name]; k != nil && k.member.Incarnation == m.Incarnation {
+		l.logger.Infof("Forgets node %s, incarnation %s.", m.Name, m.Incarnation)
 		l.changed++
-		delete(l.links, name)
+		delete(l.links, m.Name)
 		k.stop()
 	}
 }
@@ -146,6 +151,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if _, gone := l.gone[m.Incarnation]; gone {
+		return
+	}
 	known := l.links[m.Name]
 	if known != nil && (known.member == m || !certain) {
 		return
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -230,7 +230,7 @@
 func (l *Linker) takeNews(s *session, n *framer.News, direct bool) {
 	m := toMember(n)
 	if n.GetGone() {
-		l.Forget(m.Name)
+		l.Forget(m)
 		return
 	}
 	l.Meet(m, direct)
