Admit chains at the ingress by what the services below them bear

Change: guards tell the work that they are offered in slots. Requests that come back after a refusal go first in their priority.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -25,7 +25,7 @@
 	// leavingRetry is how long a caller should wait, at another node, when
 	// this one is about to end.
 	leavingRetry = 100 * time.Millisecond
-	bearer        = "Bearer "
+	bearer       = "Bearer "
 )
 
 type (
@@ -59,8 +59,8 @@
 	Settings struct {
 		// Clock tells the time.
 		Clock timekeeper.Clock
-		// Called is told of each call of the own backend server.
-		Called func(service string)
+		// Called is told the route of each call of the own backend server.
+		Called func(route string)
 		// Dialect names the header fields.
 		Dialect exchanger.Dialect
 		// Forwarder runs the calls.
@@ -244,7 +244,7 @@
 // run charges the customer and runs the call.
 func (a *Admitter) run(ctx context.Context, n *admission) (*exchanger.Reply, *exchanger.Refusal) {
 	if n.call.Inner {
-		a.Called(n.call.Service)
+		a.Called(n.call.Route)
 	} else {
 		a.Forwarder.Earn(n.call.Service)
 	}
--- a/internal/admitter/fans.go
+++ b/internal/admitter/fans.go
@@ -1,53 +1,65 @@
 package admitter
 
-import "sync"
+import (
+	"sync"
+	"time"
 
-// maxRuns is the number of runs after which older ones count half, so that the
-// means follow what the backend server does now.
-const maxRuns = 2000
+	"github.com/flamingotack/flamingotack/internal/estimator"
+	"github.com/flamingotack/flamingotack/internal/timekeeper"
+)
 
-// FanCounter counts the calls that runs on the own backend server make. Make it
-// by NewFanCounter. It is safe for concurrent use.
+// fanWindow is the least time over which runs and calls are counted together.
+const fanWindow = 500 * time.Millisecond
+
+// FanCounter counts the runs and the calls of the own backend server and learns
+// how many calls a run of each route makes. Make it by NewFanCounter. It is safe
+// for concurrent use.
 type FanCounter struct {
-	runs func() int64
+	clock timekeeper.Clock
 
-	mu    sync.Mutex
-	past  int64
-	total float64
-	calls map[string]float64
+	mu        sync.Mutex
+	begun     time.Time
+	runs      map[string]float64
+	calls     map[string]float64
+	estimator estimator.Estimator
+	fans      map[string]estimator.Fans
 }
 
-// NewFanCounter returns a FanCounter. runs returns the number of runs so far.
-func NewFanCounter(runs func() int64) *FanCounter {
-	return &FanCounter{runs: runs, calls: map[string]float64{}}
+// NewFanCounter returns a FanCounter that has counted nothing.
+func NewFanCounter(clock timekeeper.Clock) *FanCounter {
+	return &FanCounter{clock: clock, begun: clock.Now(), runs: map[string]float64{}, calls: map[string]float64{}}
 }
 
-// Called counts a call of a service.
-func (c *FanCounter) Called(service string) {
+// Called counts a call of a route by the backend server.
+func (c *FanCounter) Called(route string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.calls[service]++
+	c.calls[route]++
 }
 
-// Means returns the mean number of calls that one run makes, by service.
-func (c *FanCounter) Means() map[string]float64 {
+// Fans returns the mean number of calls, by route, that a run of each route
+// makes. The result is not changed any more.
+func (c *FanCounter) Fans() map[string]estimator.Fans {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.runs()
-	c.total += float64(now - c.past)
-	c.past = now
-	if c.total == 0 {
-		return nil
-	}
-	means := make(map[string]float64, len(c.calls))
-	for service, n := range c.calls {
-		means[service] = n / c.total
+	now := c.clock.Now()
+	if now.Sub(c.begun) < fanWindow {
+		return c.fans
 	}
-	if c.total > maxRuns {
-		c.total /= 2
-		for service := range c.calls {
-			c.calls[service] /= 2
-		}
+	c.begun = now
+	if len(c.runs) == 0 && len(c.calls) == 0 {
+		return c.fans
 	}
-	return means
+	c.estimator.Add(c.runs, c.calls)
+	clear(c.runs)
+	clear(c.calls)
+	c.fans = c.estimator.Fans()
+	return c.fans
+}
+
+// Ran counts a run of a route on the backend server.
+func (c *FanCounter) Ran(route string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runs[route]++
 }
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -66,7 +66,7 @@
 		stopping atomic.Bool
 		// leaving is set once callers have had time to see that the node is
 		// not ready.
-		leaving atomic.Bool
+		leaving  atomic.Bool
 		listener net.Listener
 		peers    net.Listener
 	}
@@ -177,6 +177,7 @@
 func (n *Node) assemble() {
 	s, clock := n.settings, timekeeper.System{}
 	backend := &invoker.Invoker{Address: s.Backend, Dialect: s.Dialect}
+	n.fans = admitter.NewFanCounter(clock)
 	n.guardian = guardian.New(guardian.Settings{
 		Backend: backend,
 		Changed: n.wake,
@@ -185,16 +186,16 @@
 		Domain:  s.Domain,
 		Service: s.Service,
 		Logger:  s.Logger.Part("guardian"),
+		Ran:     n.fans.Ran,
 		Table:   n.table.Load,
 	})
-	n.fans = admitter.NewFanCounter(n.guardian.Runs)
 	n.linker = linker.New(n.self, clock, s.Logger.Part("linker"), linker.Handlers{
-		Fans:      func() linker.Fans { return n.fans.Means() },
+		Fans:      n.fans.Fans,
 		Grant:     func(customer string, tokens int64) int64 { return n.shares.Give(customer, tokens) },
 		Load:      n.guardian.Load,
 		Run:       n.guardian,
 		State:     func() director.State { return n.table.Load().State },
-		TakeFans:  func(m linker.Member, f linker.Fans) { n.forwarder.TakeFans(m, f) },
+		TakeFans:  func(m linker.Member, f map[string]linker.Fans) { n.forwarder.TakeFans(m, f) },
 		TakeLoad:  func(m linker.Member, l guardian.Load) { n.forwarder.TakeLoad(m, l) },
 		TakeState: n.take,
 	})
@@ -207,6 +208,7 @@
 		RepeatRatio: s.RepeatRatio,
 		RepeatSlack: s.RepeatSlack,
 		Self:        n.self,
+		Table:       n.table.Load,
 	}, s.Region)
 	n.shares = admitter.NewShares(clock, lenders{n.linker, n.forwarder}, s.Slack)
 	n.admitter = admitter.New(admitter.Settings{
--- a/internal/director/table.go
+++ b/internal/director/table.go
@@ -27,6 +27,7 @@
 		customers map[string]*Customer
 		owners    map[string]*Customer
 		services  map[string]*Service
+		names     map[string]*Route
 	}
 )
 
@@ -38,6 +39,7 @@
 		customers: map[string]*Customer{},
 		owners:    map[string]*Customer{},
 		services:  map[string]*Service{},
+		names:     map[string]*Route{},
 	}
 	if s.Config == nil {
 		return t
@@ -45,6 +47,7 @@
 	for i := range s.Config.Routes {
 		r := &s.Config.Routes[i]
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+		t.names[r.Name] = r
 	}
 	for _, routes := range t.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -77,6 +80,11 @@
 	return len(t.customers) > 0
 }
 
+// Named returns the route of that name; nil for an unknown one.
+func (t *Table) Named(name string) *Route {
+	return t.names[name]
+}
+
 // Owner returns the customer that holds a key; nil for an unknown one.
 func (t *Table) Owner(key string) *Customer {
 	return t.owners[key]
--- /dev/null
+++ b/internal/forwarder/admission.go
@@ -0,0 +1,116 @@
+package forwarder
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/flamingotack/flamingotack/internal/exchanger"
+	"github.com/flamingotack/flamingotack/internal/guardian"
+)
+
+const (
+	// pressureInterval is how often the pressure on the services is worked
+	// out.
+	pressureInterval = 50 * time.Millisecond
+	// loadLife is how long the load of a guard counts.
+	loadLife = 4 * time.Second
+	// returnTime is how long after its refusal a request that comes again is
+	// known as one that was refused.
+	returnTime = 5 * time.Second
+	maxRefused = 8192
+	// defaultHeld stands for the time that a call takes until it is known.
+	defaultHeld = 50 * time.Millisecond
+	// heldGain weighs a new time against the mean of those before.
+	heldGain = 0.05
+)
+
+type (
+	// loadReport is the newest load of a guard.
+	loadReport struct {
+		service, incarnation string
+		load                 guardian.Load
+		taken                time.Time
+	}
+)
+
+// admit reports whether a request may begin its chain of calls, by what the
+// services below it bear. A request that was refused before goes first among
+// those of its priority.
+func (f *Forwarder) admit(c *exchanger.Call) *exchanger.Refusal {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh()
+	now := f.Clock.Now()
+	f.measure(now)
+	digest := xxh3.HashString(c.Customer + " " + c.Method + " " + c.Host + c.Target)
+	rank := 2*int(c.Priority) + 1
+	if at, refused := f.refused[digest]; refused && now.Sub(at) < returnTime {
+		rank--
+	}
+	if f.regulator.Admit(now, c.Route, rank, f.costs(c)) {
+		delete(f.refused, digest)
+		return nil
+	}
+	if len(f.refused) >= maxRefused {
+		clear(f.refused)
+	}
+	f.refused[digest] = now
+	refusal := exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonOverload, "the services below %q bear no more requests of rank %d", c.Service, rank)
+	refusal.RetryAfter = time.Duration(float64(fullRetry) * (1 + f.random.Float64()))
+	return refusal
+}
+
+// costs returns for how many seconds a call occupies slots of each service. The
+// caller holds the lock.
+func (f *Forwarder) costs(c *exchanger.Call) map[string]float64 {
+	costs := map[string]float64{}
+	for b, calls := range f.tree(c.Route, c.Service) {
+		held := f.held[b.service]
+		if known := f.routes[b.route]; known > 0 {
+			held = known
+		}
+		if held <= 0 {
+			held = defaultHeld
+		}
+		costs[b.service] += calls * held.Seconds()
+	}
+	return costs
+}
+
+// learn takes the time that a whole answer took.
+func (f *Forwarder) learn(route string, held time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := f.routes[route]
+	if known == 0 {
+		f.routes[route] = held
+		return
+	}
+	f.routes[route] = known + time.Duration(heldGain*float64(held-known))
+}
+
+// measure works out the pressure on each service. The caller holds the lock.
+func (f *Forwarder) measure(now time.Time) {
+	if now.Sub(f.measured) < pressureInterval {
+		return
+	}
+	f.measured = now
+	f.regulator.Nodes = len(f.members)
+	offered, limit := map[string]float64{}, map[string]float64{}
+	held, count := map[string]time.Duration{}, map[string]int{}
+	for _, r := range f.loads {
+		if r.load.Closed || now.Sub(r.taken) > loadLife {
+			continue
+		}
+		offered[r.service] += r.load.Offered
+		limit[r.service] += float64(r.load.Limit)
+		held[r.service] += r.load.Service
+		count[r.service]++
+	}
+	for service, bears := range limit {
+		f.held[service] = held[service] / time.Duration(count[service])
+		f.regulator.Report(now, service, offered[service], bears)
+	}
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/flamingotack/flamingotack/internal/guardian"
 	"github.com/flamingotack/flamingotack/internal/linker"
 	"github.com/flamingotack/flamingotack/internal/logger"
+	"github.com/flamingotack/flamingotack/internal/regulator"
 	"github.com/flamingotack/flamingotack/internal/retrier"
 	"github.com/flamingotack/flamingotack/internal/router"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
@@ -46,7 +47,20 @@
 		crowds    map[string][]router.Candidate
 		members   map[string]linker.Member
 		changed   uint64
-		fans      map[string]memberFans
+		// fans is what nodes told of their backend servers' calls, by node and
+		// by the route of the runs.
+		fans map[string]map[string]linker.Fans
+		// trees are those that fans and treesOf give.
+		trees   map[branch]map[branch]float64
+		treesOf *director.Table
+		// loads are the newest loads, by node.
+		loads     map[string]loadReport
+		measured  time.Time
+		regulator regulator.Regulator
+		// held is the mean time of a call, by service and by route.
+		held, routes map[string]time.Duration
+		// refused are the digests of refused requests and when that was.
+		refused map[uint64]time.Time
 	}
 
 	// Links are the ways to other nodes.
@@ -77,12 +91,8 @@
 		RepeatRatio, RepeatSlack float64
 		// Self is the node.
 		Self linker.Member
-	}
-
-	// memberFans is what a node told of its backend server's calls.
-	memberFans struct {
-		service string
-		fans    linker.Fans
+		// Table returns the configuration in force.
+		Table func() *director.Table
 	}
 )
 
@@ -93,12 +103,22 @@
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		router:    router.Router{Domain: s.Self.Domain, Region: region},
 		allowance: retrier.Allowance{Ratio: s.RepeatRatio, Slack: s.RepeatSlack},
-		fans:      map[string]memberFans{},
+		fans:      map[string]map[string]linker.Fans{},
+		trees:     map[branch]map[branch]float64{},
+		loads:     map[string]loadReport{},
+		held:      map[string]time.Duration{},
+		routes:    map[string]time.Duration{},
+		refused:   map[uint64]time.Time{},
 	}
 }
 
 // Forward runs a call on one of the nodes of its service.
 func (f *Forwarder) Forward(ctx context.Context, c *exchanger.Call, route *director.Route) (*exchanger.Reply, *exchanger.Refusal) {
+	if !c.Inner {
+		if refusal := f.admit(c); refusal != nil {
+			return nil, refusal
+		}
+	}
 	t := &trip{forwarder: f, call: c, attempts: route.Attempts}
 	return t.run(ctx)
 }
@@ -112,25 +132,18 @@
 }
 
 // TakeFans takes what a node tells of its backend server's calls.
-func (f *Forwarder) TakeFans(m linker.Member, fans linker.Fans) {
+func (f *Forwarder) TakeFans(m linker.Member, fans map[string]linker.Fans) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.fans[m.Name] = memberFans{service: m.Service, fans: fans}
+	f.fans[m.Name] = fans
+	clear(f.trees)
 }
 
 // TakeLoad takes what a node tells about its backend server.
 func (f *Forwarder) TakeLoad(m linker.Member, l guardian.Load) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.router.Report(f.Clock.Now(), m.Name, report(m, l))
-}
-
-// Tree returns the number of calls that a call of a service brings to each
-// service, itself included.
-func (f *Forwarder) Tree(service string) map[string]float64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.tree(service)
+	f.takeLoad(m, l)
 }
 
 func (f *Forwarder) end(name string, o router.Outcome) {
@@ -147,7 +160,7 @@
 	f.refresh()
 	now := f.Clock.Now()
 	if c.Service == f.Self.Service {
-		f.router.Report(now, f.Self.Name, report(f.Self, local))
+		f.takeLoad(f.Self, local)
 	}
 	candidates := make([]router.Candidate, 0, len(f.crowds[c.Service]))
 	for _, one := range f.crowds[c.Service] {
@@ -159,8 +172,21 @@
 	return f.members[picked.Name], verdict == router.VerdictPicked
 }
 
+// takeLoad is TakeLoad. The caller holds the lock.
+func (f *Forwarder) takeLoad(m linker.Member, l guardian.Load) {
+	now := f.Clock.Now()
+	f.router.Report(now, m.Name, report(m, l))
+	if known, found := f.loads[m.Name]; !found || known.incarnation != m.Incarnation || l.Sequence > known.load.Sequence {
+		f.loads[m.Name] = loadReport{service: m.Service, incarnation: m.Incarnation, load: l, taken: now}
+	}
+}
+
 // refresh takes the present members. The caller holds the lock.
 func (f *Forwarder) refresh() {
+	if table := f.Table(); table != f.treesOf {
+		f.treesOf = table
+		clear(f.trees)
+	}
 	changed := f.Links.Changed()
 	if f.members != nil && changed == f.changed {
 		return
@@ -184,7 +210,8 @@
 		return found
 	}
 	f.router.Prune(known)
-	maps.DeleteFunc(f.fans, func(name string, _ memberFans) bool { return !known(name) })
+	maps.DeleteFunc(f.fans, func(name string, _ map[string]linker.Fans) bool { return !known(name) })
+	maps.DeleteFunc(f.loads, func(name string, _ loadReport) bool { return !known(name) })
 }
 
 func (f *Forwarder) send(ctx context.Context, m linker.Member, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
@@ -205,7 +232,11 @@
 func (f *Forwarder) spend(c *exchanger.Call) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.allowance.Spend(f.Clock.Now(), f.tree(c.Service), len(f.members))
+	cost := map[string]float64{}
+	for b, calls := range f.tree(c.Route, c.Service) {
+		cost[b.service] += calls
+	}
+	return f.allowance.Spend(f.Clock.Now(), cost, len(f.members))
 }
 
 // Earn counts a request of a caller for a service.
--- a/internal/forwarder/trip.go
+++ b/internal/forwarder/trip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/exchanger"
@@ -77,7 +78,11 @@
 		return nil, noServer(t.call.Service)
 	}
 	t.tried = append(t.tried, m.Name)
+	started := t.forwarder.Clock.Now()
 	reply, refusal := t.forwarder.send(ctx, m, t.call)
+	if refusal == nil && !t.call.Inner && reply.Status < http.StatusInternalServerError {
+		t.forwarder.learn(t.call.Route, t.forwarder.Clock.Now().Sub(started))
+	}
 	t.forwarder.end(m.Name, outcome(refusal))
 	return reply, refusal
 }
--- a/internal/guardian/gate.go
+++ b/internal/guardian/gate.go
@@ -19,7 +19,7 @@
 	// serviceGain weighs a new service time against the mean of those before.
 	serviceGain = 0.05
 	// queueTime is how long the requests in a full queue take together.
-	queueTime = 300 * time.Millisecond
+	queueTime = time.Second
 	// coldQueueTime is the same while the server is cold.
 	coldQueueTime = 400 * time.Millisecond
 	leastQueue    = 4
@@ -44,6 +44,7 @@
 		running   int
 		number    uint64
 		waiting   map[uint64]chan *exchanger.Refusal
+		offered   meter
 		mean      time.Duration
 		services  map[string]time.Duration
 		timer     *time.Timer
@@ -105,21 +106,22 @@
 	return &pass{gate: g, route: c.Route, started: g.clock.Now()}, nil
 }
 
-// load returns the limit, what runs and waits, the mean service time and how
-// long a new call would wait.
-func (g *gate) load() (limit, running, queued int, service, wait time.Duration) {
+// load fills in what the gate knows.
+func (g *gate) load(l *Load) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	limit = g.limit()
-	service = g.service()
-	if now.Before(g.bounds.coldUntil) && g.bounds.warmRate > 0 {
-		limit = min(limit, max(1, int(g.bounds.warmRate*service.Seconds())))
+	l.Limit = g.limit()
+	l.Running = g.running
+	l.Queued = g.scheduler.Len()
+	l.Service = g.service()
+	if g.cold(now) {
+		l.Limit = min(l.Limit, max(1, int(g.bounds.warmRate*l.Service.Seconds())))
 	}
-	if excess := g.running + g.scheduler.Len() - limit; excess >= 0 {
-		wait = service * time.Duration(excess+1) / time.Duration(max(1, limit))
+	if excess := l.Running + l.Queued - l.Limit; excess >= 0 {
+		l.Wait = l.Service * time.Duration(excess+1) / time.Duration(l.Limit)
 	}
-	return limit, g.running, g.scheduler.Len(), service, wait
+	l.Offered = g.offered.at(now)
 }
 
 // open lets calls through within the bounds.
@@ -224,6 +226,11 @@
 		return 0, decided
 	}
 	now := g.clock.Now()
+	service := g.services[c.Route]
+	if service == 0 {
+		service = g.service()
+	}
+	g.offered.add(now, service.Seconds())
 	g.number++
 	g.waiting[g.number] = decided
 	g.scheduler.Capacity = g.capacity(now)
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -7,7 +7,6 @@
 	"context"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/director"
@@ -25,7 +24,6 @@
 
 		gate   *gate
 		doubts chan struct{}
-		runs   atomic.Int64
 
 		mu        sync.Mutex
 		server    Server
@@ -43,6 +41,9 @@
 		Limit int
 		// Running and Queued are calls at the guard.
 		Running, Queued int
+		// Offered is the work that the guard is offered, in slots that it
+		// would occupy.
+		Offered float64
 		// Closed says that the node takes no new work for its server.
 		Closed bool
 		// Service is the mean time that a call takes.
@@ -67,6 +68,8 @@
 		Domain, Service string
 		// Logger takes the decisions.
 		Logger *logger.Part
+		// Ran is told the route of each call that is sent to the server.
+		Ran func(route string)
 		// Table returns the configuration in force.
 		Table func() *director.Table
 	}
@@ -135,7 +138,7 @@
 	defer g.mu.Unlock()
 	g.sequence++
 	l := Load{Sequence: g.sequence, Closed: g.state != stateOpen}
-	l.Limit, l.Running, l.Queued, l.Service, l.Wait = g.gate.load()
+	g.gate.load(&l)
 	return l
 }
 
@@ -146,11 +149,6 @@
 	g.apply()
 }
 
-// Runs returns the number of calls that were sent to the backend server.
-func (g *Guardian) Runs() int64 {
-	return g.runs.Load()
-}
-
 // Stop lets no further call through.
 func (g *Guardian) Stop() {
 	g.mu.Lock()
@@ -162,7 +160,7 @@
 // send runs a call whose turn it is.
 func (g *Guardian) send(ctx context.Context, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
 	id := g.instance()
-	g.runs.Add(1)
+	g.Ran(c.Route)
 	answer, err := g.Backend.Send(ctx, g.request(c, id))
 	if err != nil {
 		return nil, g.failed(ctx, err)
--- a/internal/linker/convert.go
+++ b/internal/linker/convert.go
@@ -80,6 +80,7 @@
 		Closed:        l.Closed,
 		ServiceMicros: l.Service.Microseconds(),
 		WaitMicros:    l.Wait.Microseconds(),
+		Offered:       float32(l.Offered),
 	}
 }
 
@@ -130,6 +131,7 @@
 		Closed:   m.GetClosed(),
 		Service:  time.Duration(m.GetServiceMicros()) * time.Microsecond,
 		Wait:     time.Duration(m.GetWaitMicros()) * time.Microsecond,
+		Offered:  float64(m.GetOffered()),
 	}
 }
 
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -90,8 +90,9 @@
 	return k.number, p
 }
 
-// check pings a link on which an answer is due and ends a silent one.
-func (k *link) check(now time.Time) {
+// check pings a link on which an answer is due, ends a silent one, and tells
+// news once in an interval.
+func (k *link) check(now time.Time, interval time.Duration) {
 	s := k.current.Load()
 	if s == nil {
 		return
@@ -111,7 +112,7 @@
 		k.owner.logger.Warnf("Link to node %s is silent for %s.", k.member.Name, quiet)
 		s.close()
 	}
-	if now.Sub(k.told) > newsInterval {
+	if now.Sub(k.told) >= interval {
 		k.told = now
 		s.put(k.owner.news(false))
 	}
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/director"
+	"github.com/flamingotack/flamingotack/internal/estimator"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/guardian"
 	"github.com/flamingotack/flamingotack/internal/logger"
@@ -25,6 +26,11 @@
 	// newsInterval is how often nodes tell each other their loads when
 	// nothing else does.
 	newsInterval = 1500 * time.Millisecond
+	// pressed is the offered work, in parts of what a backend server bears,
+	// from which on news go out more often: each newsPerLink for every link,
+	// which bounds what they cost in large deployments.
+	pressed     = 0.7
+	newsPerLink = 3 * time.Millisecond
 	// pingAfter is how long a link on which an answer is due may carry nothing
 	// before it is pinged, and silentAfter before it counts as silent.
 	pingAfter   = 400 * time.Millisecond
@@ -37,14 +43,14 @@
 )
 
 type (
-	// Fans is the mean number of calls that one run on a node's backend
-	// server makes, by service.
-	Fans map[string]float64
+	// Fans is the mean number of calls that one run makes, by route.
+	Fans = estimator.Fans
 
 	// Handlers are what the frames of other nodes are for. None is nil.
 	Handlers struct {
-		// Fans returns what the node tells of its backend server's calls.
-		Fans func() Fans
+		// Fans returns what the node tells of its backend server's calls, by
+		// the route of the runs that make them.
+		Fans func() map[string]Fans
 		// Grant gives away tokens of a customer's rate, in thousandths.
 		Grant func(customer string, tokens int64) (granted int64)
 		// Load returns what the node tells about its backend server.
@@ -55,7 +61,7 @@
 		State func() director.State
 		// TakeFans takes what another node tells of its backend server's
 		// calls.
-		TakeFans func(Member, Fans)
+		TakeFans func(Member, map[string]Fans)
 		// TakeLoad takes what another node tells about its backend server.
 		TakeLoad func(Member, guardian.Load)
 		// TakeState takes a configuration from another node.
@@ -198,9 +204,9 @@
 		case <-ticker.C:
 		}
 		l.mu.Lock()
-		now := l.clock.Now()
+		now, interval := l.clock.Now(), l.newsInterval()
 		for _, k := range l.links {
-			k.check(now)
+			k.check(now, interval)
 		}
 		l.mu.Unlock()
 	}
@@ -233,6 +239,17 @@
 	return l.links[name]
 }
 
+// newsInterval returns how often to tell the other nodes of the backend server:
+// more often while it has more work than it bears, as they decide by that what
+// begins. The caller holds the lock.
+func (l *Linker) newsInterval() time.Duration {
+	load := l.handlers.Load()
+	if load.Closed || load.Offered < pressed*float64(load.Limit) {
+		return newsInterval
+	}
+	return min(newsInterval, max(checkInterval, newsPerLink*time.Duration(len(l.links))))
+}
+
 func unreachable(name string) *exchanger.Refusal {
 	return exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonUnreachable, "node %s can't be reached", name)
 }
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -196,8 +196,10 @@
 		Load:        fromLoad(l.handlers.Load()),
 		Gone:        gone,
 	}
-	for service, calls := range l.handlers.Fans() {
-		n.Fans = append(n.Fans, &framer.Fan{Service: service, Calls: float32(calls)})
+	for route, fans := range l.handlers.Fans() {
+		for called, calls := range fans {
+			n.Fans = append(n.Fans, &framer.Fan{Route: route, Called: called, Calls: float32(calls)})
+		}
 	}
 	return &framer.Frame{News: n}
 }
@@ -240,9 +242,12 @@
 	if n.GetLoad() != nil {
 		l.handlers.TakeLoad(m, toLoad(n.GetLoad()))
 	}
-	fans := Fans{}
+	fans := map[string]Fans{}
 	for _, f := range n.GetFans() {
-		fans[f.GetService()] = float64(f.GetCalls())
+		if fans[f.GetRoute()] == nil {
+			fans[f.GetRoute()] = Fans{}
+		}
+		fans[f.GetRoute()][f.GetCalled()] = float64(f.GetCalls())
 	}
 	l.handlers.TakeFans(m, fans)
 	if state := l.handlers.State(); state.Revision > n.GetRevision() {
--- /dev/null
+++ b/internal/regulator/regulator.go
@@ -0,0 +1,284 @@
+// Package regulator decides at the ingress which requests begin a chain of
+// calls, so that the chains that run fit the scarcest service below them. Guards
+// tell how much work they are offered for what they bear; the regulator of each
+// ingress keeps a budget of work for each service that is short, which follows
+// that pressure. A surge of demand so changes what is refused, not what runs. It
+// knows no clock and does no input or output; a Regulator is not safe for
+// concurrent use.
+package regulator
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// Ranks is the number of ranks of requests; rank 0 is refused last.
+	Ranks = 8
+
+	// target is the offered work, in parts of what the servers bear, that the
+	// budgets bring about.
+	target = 0.97
+	// onset is the pressure from which on a service is short.
+	onset = 1.05
+	// seenFrom and seenTo bound how long ago the budgets were in force whose
+	// effect a report shows: calls take time to reach the guards, and guards
+	// average.
+	seenFrom = 1000 * time.Millisecond
+	seenTo   = 200 * time.Millisecond
+	// stepTime is the time between two entries of the history of budgets.
+	stepTime = 50 * time.Millisecond
+	// settleTime is the time over which a budget follows the pressure.
+	settleTime = 400 * time.Millisecond
+	// maxGrowth bounds the factor by which a budget exceeds those whose effect
+	// is seen.
+	maxGrowth = 3
+	// leastPart is the least budget of all nodes together, in parts of what the
+	// servers bear.
+	leastPart = 0.2
+	// saveTime is for how long an unused budget is saved up.
+	saveTime = 400 * time.Millisecond
+	// reservePart is the part of the savings that the last rank leaves to
+	// those before it.
+	reservePart = 0.8
+	// admittedTime is the time over which admitted work is averaged.
+	admittedTime = time.Second
+	// idleTime is how long after the last refusal a budget is dropped.
+	idleTime = 2 * time.Second
+	// reportLife is how long a report counts.
+	reportLife = 4 * time.Second
+	// fairTime is the time over which the routes' shares are compared, and
+	// fairPart the part of the common share that every route gets.
+	fairTime = 4 * time.Second
+	fairPart = 0.4
+)
+
+type (
+	// Regulator keeps the budgets of one ingress. The zero Regulator is ready
+	// for use.
+	Regulator struct {
+		// Nodes is the number of nodes that share the servers, at least 1.
+		Nodes int
+
+		valves map[string]*valve
+		routes map[string]*share
+		all    share
+	}
+
+	// share is what of the demand was admitted.
+	share struct {
+		asked, admitted float64
+		faded           time.Time
+	}
+
+	// valve is the budget for one service.
+	valve struct {
+		short bool
+		// part is the budget in parts of what the servers bear.
+		part float64
+		// bears is the number of slots that the servers have.
+		bears float64
+		// past holds the parts of the last steps, the newest first.
+		past     [seenFrom / stepTime]float64
+		stepped  time.Time
+		saved    float64
+		paid     time.Time
+		reported time.Time
+		refused  time.Time
+
+		admitted float64
+		faded    time.Time
+	}
+)
+
+// Admit reports whether a request may begin its chain. costs is the time for
+// which it occupies slots of each service, in seconds.
+func (r *Regulator) Admit(now time.Time, route string, rank int, costs map[string]float64) bool {
+	rank = max(0, min(rank, Ranks-1))
+	s := r.share(now, route)
+	if s.behind(&r.all) {
+		rank = 0
+	}
+	admitted := true
+	for service, cost := range costs {
+		v := r.valve(now, service)
+		v.pay(now)
+		if v.short && v.saved < v.reserve(rank, cost) {
+			v.refused = now
+			admitted = false
+		}
+	}
+	s.count(admitted)
+	r.all.count(admitted)
+	if !admitted {
+		return false
+	}
+	for service, cost := range costs {
+		v := r.valves[service]
+		v.fade(now)
+		v.admitted += cost
+		if v.short {
+			v.saved -= cost
+		}
+	}
+	return true
+}
+
+// Report takes the work that the guards of a service are offered and what their
+// servers bear, both in slots.
+func (r *Regulator) Report(now time.Time, service string, offered, bears float64) {
+	v := r.valve(now, service)
+	v.pay(now)
+	v.fade(now)
+	v.step(now)
+	elapsed := now.Sub(v.reported)
+	v.reported = now
+	v.bears = max(bears, 1)
+	pressure := offered / v.bears
+	least := leastPart / float64(max(1, r.Nodes))
+	switch {
+	case !v.short && pressure > onset:
+		v.begin(now, max(least, v.admitted/admittedTime.Seconds()*target/offered), pressure)
+	case v.short && now.Sub(v.refused) > idleTime && pressure < target:
+		v.short = false
+	case v.short:
+		wanted := v.seen() * min(maxGrowth, target/max(pressure, target/maxGrowth))
+		v.part += (1 - math.Exp(-elapsed.Seconds()/settleTime.Seconds())) * (wanted - v.part)
+		v.part = max(v.part, least)
+	}
+}
+
+// Budget returns the budget for a service in seconds of slots a second; none
+// while the service is not short.
+func (r *Regulator) Budget(service string) (budget float64, short bool) {
+	v := r.valves[service]
+	if v == nil || !v.short {
+		return 0, false
+	}
+	return v.budget(), true
+}
+
+// begin sets a budget when a service becomes short. The history is what brought
+// about the pressure.
+func (v *valve) begin(now time.Time, part, pressure float64) {
+	v.short = true
+	v.part = part
+	v.saved = 0
+	v.refused = now
+	v.stepped = now
+	for i := range v.past {
+		v.past[i] = part * pressure / target
+	}
+}
+
+// seen returns the mean budget of the time whose effect is reported now.
+func (v *valve) seen() float64 {
+	sum := 0.0
+	recent := v.past[seenTo/stepTime:]
+	for _, part := range recent {
+		sum += part
+	}
+	return sum / float64(len(recent))
+}
+
+// step brings the history up to now.
+func (v *valve) step(now time.Time) {
+	steps := int(now.Sub(v.stepped) / stepTime)
+	if steps <= 0 {
+		return
+	}
+	v.stepped = v.stepped.Add(time.Duration(steps) * stepTime)
+	steps = min(steps, len(v.past))
+	copy(v.past[steps:], v.past[:len(v.past)-steps])
+	for i := range steps {
+		v.past[i] = v.part
+	}
+}
+
+func (r *Regulator) share(now time.Time, route string) *share {
+	if r.routes == nil {
+		r.routes = map[string]*share{}
+	}
+	s := r.routes[route]
+	if s == nil {
+		s = &share{faded: now}
+		r.routes[route] = s
+	}
+	s.fade(now)
+	r.all.fade(now)
+	return s
+}
+
+func (r *Regulator) valve(now time.Time, service string) *valve {
+	v := r.valves[service]
+	if v == nil {
+		if r.valves == nil {
+			r.valves = map[string]*valve{}
+		}
+		v = &valve{paid: now, faded: now, reported: now}
+		r.valves[service] = v
+	}
+	return v
+}
+
+// behind reports whether the route gets much less than all routes together.
+func (s *share) behind(all *share) bool {
+	return s.asked >= 1 && s.admitted*all.asked < fairPart*all.admitted*s.asked
+}
+
+func (s *share) count(admitted bool) {
+	s.asked++
+	if admitted {
+		s.admitted++
+	}
+}
+
+func (s *share) fade(now time.Time) {
+	elapsed := now.Sub(s.faded)
+	if elapsed <= 0 {
+		return
+	}
+	s.faded = now
+	factor := math.Exp(-elapsed.Seconds() / fairTime.Seconds())
+	s.asked *= factor
+	s.admitted *= factor
+}
+
+// budget returns the budget in seconds of slots a second.
+func (v *valve) budget() float64 {
+	return v.part * v.bears
+}
+
+func (v *valve) fade(now time.Time) {
+	elapsed := now.Sub(v.faded)
+	if elapsed <= 0 {
+		return
+	}
+	v.faded = now
+	v.admitted *= math.Exp(-elapsed.Seconds() / admittedTime.Seconds())
+}
+
+// pay saves up the budget up to now.
+func (v *valve) pay(now time.Time) {
+	elapsed := now.Sub(v.paid)
+	if elapsed <= 0 {
+		return
+	}
+	v.paid = now
+	if now.Sub(v.reported) > reportLife {
+		v.short = false
+	}
+	if v.short {
+		v.saved = min(v.saved+v.budget()*elapsed.Seconds(), v.most())
+	}
+}
+
+func (v *valve) most() float64 {
+	return v.budget() * saveTime.Seconds()
+}
+
+// reserve returns what must be saved up for a request of a rank to be admitted.
+// A request that costs more than can be saved up is admitted when all is there.
+func (v *valve) reserve(rank int, cost float64) float64 {
+	return min(v.most(), min(cost, v.most())/2+reservePart*v.most()*float64(rank)/Ranks)
+}
