Count runs where they lie, moved calls once, and call refused ones back in time

Cause: on the Association, kinds that call nobody were taken to make 2.2 deep calls, since the edges of the windows blur the runs that a window's calls belong to; a call that moved on from a full guard was counted as offered twice; and refused requests came back after 0.8 to 1.6 s, mostly past their objective.

Ruled out: a weaker or stronger pull of rare kinds towards none (the bias stays).

Change: a run counts in each window by the part of it that lies there; calls that moved on are not counted again; Retry-After is a quarter to a half of the time until the answer is late.

--- a/internal/admitter/fans.go
+++ b/internal/admitter/fans.go
@@ -8,33 +8,51 @@
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
 
-// fanWindow is the least time over which runs and calls are counted together.
-const fanWindow = 500 * time.Millisecond
+const (
+	// fanWindow is the time over which runs and calls are counted together.
+	fanWindow = 500 * time.Millisecond
+	// openWindows is the number of windows that still take runs: a run counts
+	// once it has ended, in each window by the part of it that lies there.
+	openWindows = 5
+)
 
-// FanCounter counts the runs and the calls of the own backend server and learns
-// how many calls a run of each route makes. Make it by NewFanCounter. It is safe
-// for concurrent use.
-type FanCounter struct {
-	clock timekeeper.Clock
+type (
+	// FanCounter counts the runs and the calls of the own backend server and
+	// learns how many calls a run of each route makes. Make it by
+	// NewFanCounter. It is safe for concurrent use.
+	FanCounter struct {
+		clock timekeeper.Clock
+		begun time.Time
 
-	mu        sync.Mutex
-	begun     time.Time
-	runs      map[string]float64
-	calls     map[string]float64
-	estimator estimator.Estimator
-	fans      map[string]estimator.Fans
-}
+		mu sync.Mutex
+		// first is the number of the oldest open window.
+		first     int
+		windows   [openWindows]fanCounts
+		estimator estimator.Estimator
+		fans      map[string]estimator.Fans
+	}
+
+	// fanCounts are the runs and calls of one window, by route.
+	fanCounts struct {
+		runs, calls map[string]float64
+	}
+)
 
 // NewFanCounter returns a FanCounter that has counted nothing.
 func NewFanCounter(clock timekeeper.Clock) *FanCounter {
-	return &FanCounter{clock: clock, begun: clock.Now(), runs: map[string]float64{}, calls: map[string]float64{}}
+	c := &FanCounter{clock: clock, begun: clock.Now()}
+	for i := range c.windows {
+		c.windows[i] = newFanCounts()
+	}
+	return c
 }
 
 // Called counts a call of a route by the backend server.
 func (c *FanCounter) Called(route string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.calls[route]++
+	c.advance()
+	c.window(c.number(c.clock.Now())).calls[route]++
 }
 
 // Fans returns the mean number of calls, by route, that a run of each route
@@ -42,24 +60,55 @@
 func (c *FanCounter) Fans() map[string]estimator.Fans {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.clock.Now()
-	if now.Sub(c.begun) < fanWindow {
-		return c.fans
-	}
-	c.begun = now
-	if len(c.runs) == 0 && len(c.calls) == 0 {
-		return c.fans
-	}
-	c.estimator.Add(c.runs, c.calls)
-	clear(c.runs)
-	clear(c.calls)
-	c.fans = c.estimator.Fans()
+	c.advance()
 	return c.fans
 }
 
 // Ran counts a run of a route on the backend server.
-func (c *FanCounter) Ran(route string) {
+func (c *FanCounter) Ran(route string, started, ended time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.runs[route]++
+	c.advance()
+	length := max(ended.Sub(started), 1)
+	for n := max(c.first, c.number(started)); n <= c.number(ended); n++ {
+		from := c.begun.Add(time.Duration(n) * fanWindow)
+		if n == c.first || from.Before(started) {
+			// What lies before the oldest window counts there.
+			from = started
+		}
+		to := c.begun.Add(time.Duration(n+1) * fanWindow)
+		if to.After(ended) {
+			to = ended
+		}
+		c.window(n).runs[route] += float64(max(to.Sub(from), 1)) / float64(length)
+	}
+}
+
+// advance closes the windows that are over for long enough.
+func (c *FanCounter) advance() {
+	last := c.number(c.clock.Now())
+	if last-c.first > 2*openWindows {
+		c.first = last - 2*openWindows
+	}
+	for ; c.first <= last-openWindows; c.first++ {
+		w := c.window(c.first)
+		if len(w.runs) > 0 || len(w.calls) > 0 {
+			c.estimator.Add(w.runs, w.calls)
+			c.fans = c.estimator.Fans()
+		}
+		*w = newFanCounts()
+	}
+}
+
+// number returns the number of the window of a time.
+func (c *FanCounter) number(t time.Time) int {
+	return int(t.Sub(c.begun) / fanWindow)
+}
+
+func (c *FanCounter) window(number int) *fanCounts {
+	return &c.windows[number%openWindows]
+}
+
+func newFanCounts() fanCounts {
+	return fanCounts{runs: map[string]float64{}, calls: map[string]float64{}}
 }
--- a/internal/exchanger/call.go
+++ b/internal/exchanger/call.go
@@ -39,6 +39,8 @@
 		Objective time.Time
 		// Inner tells that a run on a backend server waits for this call.
 		Inner bool
+		// Moved tells that another node was full.
+		Moved bool
 		// Repeatable tells that running the call twice does no harm.
 		Repeatable bool
 	}
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -20,6 +20,11 @@
 	// known as one that was refused.
 	returnTime = 5 * time.Second
 	maxRefused = 8192
+	// retryFrom and retryTo bound when a refused request should come back, in
+	// parts of the time until its answer is late, leastRetry that time.
+	retryFrom  = 0.25
+	retryTo    = 0.5
+	leastRetry = 400 * time.Millisecond
 	// defaultHeld stands for the time that a call takes until it is known.
 	defaultHeld = 50 * time.Millisecond
 	// heldGain weighs a new time against the mean of those before.
@@ -58,10 +63,18 @@
 	}
 	f.refused[digest] = now
 	refusal := exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonOverload, "the services below %q bear no more requests of rank %d", c.Service, rank)
-	refusal.RetryAfter = time.Duration(float64(fullRetry) * (1 + f.random.Float64()))
+	refusal.RetryAfter = f.retryAfter(c, now)
 	return refusal
 }
 
+// retryAfter returns when a caller should come back whose request would not fit
+// now: soon enough for its answer to be in time, if there is room then, and
+// spread. The caller holds the lock.
+func (f *Forwarder) retryAfter(c *exchanger.Call, now time.Time) time.Duration {
+	left := max(c.Objective.Sub(now), leastRetry)
+	return time.Duration(float64(left) * (retryFrom + (retryTo-retryFrom)*f.random.Float64()))
+}
+
 // costs returns for how many seconds a call occupies slots of each service. The
 // caller holds the lock.
 func (f *Forwarder) costs(c *exchanger.Call) map[string]float64 {
--- a/internal/forwarder/trip.go
+++ b/internal/forwarder/trip.go
@@ -62,6 +62,7 @@
 	}
 	if full(r) {
 		t.full++
+		t.call.Moved = true
 		if r.Reason == exchanger.ReasonServerFull {
 			t.attempts--
 			return t.full <= maxFull && t.attempts > 0 && t.forwarder.spend(t.call)
--- a/internal/guardian/gate.go
+++ b/internal/guardian/gate.go
@@ -230,7 +230,9 @@
 	if service == 0 {
 		service = g.service()
 	}
-	g.offered.add(now, service.Seconds())
+	if !c.Moved {
+		g.offered.add(now, service.Seconds())
+	}
 	g.number++
 	g.waiting[g.number] = decided
 	g.scheduler.Capacity = g.capacity(now)
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -68,8 +68,8 @@
 		Domain, Service string
 		// Logger takes the decisions.
 		Logger *logger.Part
-		// Ran is told the route of each call that is sent to the server.
-		Ran func(route string)
+		// Ran is told of each run on the server.
+		Ran func(route string, started, ended time.Time)
 		// Table returns the configuration in force.
 		Table func() *director.Table
 	}
@@ -160,8 +160,9 @@
 // send runs a call whose turn it is.
 func (g *Guardian) send(ctx context.Context, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
 	id := g.instance()
-	g.Ran(c.Route)
+	started := g.Clock.Now()
 	answer, err := g.Backend.Send(ctx, g.request(c, id))
+	g.Ran(c.Route, started, g.Clock.Now())
 	if err != nil {
 		return nil, g.failed(ctx, err)
 	}
--- a/internal/linker/convert.go
+++ b/internal/linker/convert.go
@@ -31,6 +31,7 @@
 			TargetMicros: c.Objective.Sub(now).Microseconds(),
 			Inner:        c.Inner,
 			Repeatable:   c.Repeatable,
+			Moved:        c.Moved,
 		},
 	}
 	return append([]*framer.Frame{head}, fromRest(number, rest)...)
@@ -111,6 +112,7 @@
 		Objective:  now.Add(time.Duration(m.GetTargetMicros()) * time.Microsecond),
 		Inner:      m.GetInner(),
 		Repeatable: m.GetRepeatable(),
+		Moved:      m.GetMoved(),
 	}
 }
 
