--- /dev/null
+++ b/internal/forwarder/forwarder_test.go
@@ -0,0 +1,170 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/flamingotack/flamingotack/internal/director"
+	"github.com/flamingotack/flamingotack/internal/exchanger"
+	"github.com/flamingotack/flamingotack/internal/guardian"
+	"github.com/flamingotack/flamingotack/internal/linker"
+	"github.com/flamingotack/flamingotack/internal/logger"
+	"github.com/flamingotack/flamingotack/internal/timekeeper"
+)
+
+// fakeLinks answers for each node by a script.
+type fakeLinks struct {
+	members []linker.Member
+	down    map[string]bool
+	script  func(name string, c *exchanger.Call) *exchanger.Refusal
+	sent    []string
+}
+
+func (l *fakeLinks) Changed() uint64          { return 1 }
+func (l *fakeLinks) Members() []linker.Member { return l.members }
+func (l *fakeLinks) Up(name string) bool      { return !l.down[name] }
+
+func (l *fakeLinks) Send(_ context.Context, name string, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
+	l.sent = append(l.sent, name)
+	if refusal := l.script(name, c); refusal != nil {
+		return nil, refusal
+	}
+	return &exchanger.Reply{Status: 200, Server: name}, nil
+}
+
+func newFixture(t *testing.T, nodes int) (f *Forwarder, l *fakeLinks) {
+	l = &fakeLinks{down: map[string]bool{}, script: func(string, *exchanger.Call) *exchanger.Refusal { return nil }}
+	for i := range nodes {
+		l.members = append(l.members, linker.Member{Name: fmt.Sprint("n", i), Incarnation: "1", Service: "desk", Domain: fmt.Sprint("d", i%3)})
+	}
+	f = New(Settings{
+		Clock:       timekeeper.System{},
+		Links:       l,
+		Load:        func() guardian.Load { return guardian.Load{} },
+		Logger:      logger.New(t.Output(), "info", "self"),
+		RepeatRatio: 0.2,
+		RepeatSlack: 1000,
+		Self:        linker.Member{Name: "self", Incarnation: "1", Service: "board", Domain: "d0"},
+		Table:       func() *director.Table { return director.NewTable(director.State{}) },
+	}, "r")
+	return f, l
+}
+
+func call(repeatable bool) *exchanger.Call {
+	now := time.Now()
+	return &exchanger.Call{ID: "1", Service: "desk", Route: "book", Deadline: now.Add(5 * time.Second), Objective: now.Add(time.Second), Repeatable: repeatable}
+}
+
+func TestAttempts(t *testing.T) {
+	notRun := func(reason exchanger.Reason) *exchanger.Refusal { return exchanger.NotRun(503, reason, "") }
+	broken := exchanger.Unknown(502, exchanger.ReasonBroken, "")
+	tests := []struct {
+		name       string
+		refusals   []*exchanger.Refusal
+		repeatable bool
+		attempts   int
+		// sent is the number of nodes that get the call, ran what the caller
+		// is told; empty for an answer.
+		sent int
+		ran  exchanger.Ran
+	}{
+		{"first one answers", nil, false, 2, 1, ""},
+		{"leaving nodes cost nothing", []*exchanger.Refusal{notRun(exchanger.ReasonDraining), notRun(exchanger.ReasonOutOfService)}, false, 1, 3, ""},
+		{"full node, one more is asked", []*exchanger.Refusal{notRun(exchanger.ReasonOverload), notRun(exchanger.ReasonOverload)}, false, 2, 2, exchanger.RanNo},
+		{"broken, may run once", []*exchanger.Refusal{broken}, false, 3, 1, exchanger.RanUnknown},
+		{"broken, may run again", []*exchanger.Refusal{broken}, true, 2, 2, ""},
+		{"broken, attempts are spent", []*exchanger.Refusal{broken, broken}, true, 2, 2, exchanger.RanUnknown},
+		{"not run after broken is not called not run", []*exchanger.Refusal{broken, notRun(exchanger.ReasonOverload), notRun(exchanger.ReasonOverload)}, true, 3, 3, exchanger.RanUnknown},
+		{"turned away by the server counts as an attempt", []*exchanger.Refusal{notRun(exchanger.ReasonServerFull)}, false, 1, 1, exchanger.RanNo},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f, l := newFixture(t, 6)
+			left := slices.Clone(tt.refusals)
+			l.script = func(string, *exchanger.Call) *exchanger.Refusal {
+				if len(left) == 0 {
+					return nil
+				}
+				next := left[0]
+				left = left[1:]
+				return next
+			}
+			_, refusal := f.Forward(t.Context(), call(tt.repeatable), &director.Route{Attempts: tt.attempts})
+			got := exchanger.Ran("")
+			if refusal != nil {
+				got = refusal.Ran
+			}
+			if got != tt.ran || len(l.sent) != tt.sent {
+				t.Errorf("got ran %q after %d nodes, want %q after %d", got, len(l.sent), tt.ran, tt.sent)
+			}
+			unique := slices.Compact(slices.Sorted(slices.Values(l.sent)))
+			if len(unique) != len(l.sent) {
+				t.Errorf("got nodes %v, want each once", l.sent)
+			}
+			if got == exchanger.RanNo && refusal.RetryAfter <= 0 {
+				t.Error("got no time to come back with a refusal as not run, want one")
+			}
+		})
+	}
+}
+
+func TestNodesThatAreDownGetNothing(t *testing.T) {
+	f, l := newFixture(t, 3)
+	l.down["n0"], l.down["n1"] = true, true
+	for range 20 {
+		if _, refusal := f.Forward(t.Context(), call(false), &director.Route{Attempts: 1}); refusal != nil {
+			t.Fatal(refusal)
+		}
+	}
+	if unique := slices.Compact(slices.Sorted(slices.Values(l.sent))); len(unique) != 1 || unique[0] != "n2" {
+		t.Errorf("got nodes %v, want n2 only", unique)
+	}
+}
+
+// TestRefusalIsNotShared checks that the time to come back is not written into a
+// refusal that a guard gives to several callers.
+func TestRefusalIsNotShared(t *testing.T) {
+	f, l := newFixture(t, 1)
+	shared := exchanger.NotRun(503, exchanger.ReasonDraining, "")
+	l.script = func(string, *exchanger.Call) *exchanger.Refusal { return shared }
+	_, refusal := f.Forward(t.Context(), call(false), &director.Route{Attempts: 1})
+	if refusal == nil || refusal.RetryAfter <= 0 || shared.RetryAfter != 0 {
+		t.Errorf("got %v with %s, shared with %s; want only the first with a time", refusal, refusal.RetryAfter, shared.RetryAfter)
+	}
+}
+
+// TestOverloadBelowRefusesAtTheRoot lets a deep service be offered twice what it
+// bears: requests whose trees lead there are refused before any call, and one
+// that comes back goes before the others.
+func TestOverloadBelowRefusesAtTheRoot(t *testing.T) {
+	f, l := newFixture(t, 3)
+	deep := linker.Member{Name: "n9", Incarnation: "1", Service: "deep", Domain: "d0"}
+	l.members = append(l.members, deep)
+	table := director.NewTable(director.State{Config: &director.Config{Routes: []director.Route{
+		{Name: "feed", Parts: []director.Part{{Service: "deep", Weight: 1}}},
+	}}})
+	f.Table = func() *director.Table { return table }
+	f.TakeFans(l.members[0], map[string]linker.Fans{"book": {"feed": 5}})
+	refused := 0
+	for i := range 400 {
+		f.TakeLoad(deep, guardian.Load{Sequence: uint64(i + 1), Limit: 10, Offered: 20, Service: 50 * time.Millisecond})
+		f.measured = time.Time{}
+		c := call(false)
+		c.Target = fmt.Sprint("/", i)
+		if _, refusal := f.Forward(t.Context(), c, &director.Route{Attempts: 1}); refusal != nil {
+			refused++
+			if refusal.Ran != exchanger.RanNo || refusal.Reason != exchanger.ReasonOverload {
+				t.Fatalf("got refusal %v, want one for overload that says not run", refusal)
+			}
+		}
+	}
+	if refused < 100 {
+		t.Errorf("got %d of 400 refused, want at least 100", refused)
+	}
+	if got := len(l.sent) + refused; got != 400 {
+		t.Errorf("got %d calls sent or refused, want 400: a refused one must not be sent", got)
+	}
+}
