Bound the log, write it in batches, and log decisions with their inputs

Decisions carry request, route, service, customer, node, status, reason, whether it ran, version and times as fields. A node's links and runs end before its linker does.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -95,18 +95,40 @@
 func (a *Admitter) Handle(ctx context.Context, r *acceptor.Request) *acceptor.Response {
 	n, refusal := a.admit(r)
 	if refusal != nil {
-		a.Logger.Infof("Request %s %s%s refused with %d: %s.", r.Header.Get(a.Dialect.Attempt), r.Host, r.RequestURI, refusal.Status, refusal.Reason)
+		a.Logger.Decision(refused(logger.Decision{
+			Request: r.Header.Get(a.Dialect.Attempt),
+			Outcome: "Refuses at the door.",
+			Version: a.Table().State.Version(),
+			Elapsed: a.Clock.Now().Sub(r.Arrived),
+		}, refusal))
 		return a.refuse(r.Header.Get(a.Dialect.Attempt), refusal)
 	}
 	reply, refusal := a.run(ctx, n)
+	d := logger.Decision{
+		Request:  n.call.ID,
+		Route:    n.route.Name,
+		Service:  n.call.Service,
+		Customer: n.call.Customer,
+		Version:  a.Table().State.Version(),
+		Elapsed:  a.Clock.Now().Sub(r.Arrived),
+		Left:     n.call.Deadline.Sub(a.Clock.Now()),
+	}
 	if refusal != nil {
-		a.Logger.Infof("Request %s, route %s, customer %q, priority %d: refused with %d after %s: %s (ran: %s), %s.",
-			n.call.ID, n.route.Name, n.call.Customer, n.call.Priority, refusal.Status, a.Clock.Now().Sub(r.Arrived), refusal.Reason, refusal.Ran, refusal.Detail)
+		d.Outcome = "Refuses."
+		a.Logger.Decision(refused(d, refusal))
 		return a.refuse(n.call.ID, refusal)
 	}
+	d.Outcome, d.Status, d.Node = "Answers.", reply.Status, reply.Server
+	a.Logger.Decision(d)
 	return &acceptor.Response{Status: reply.Status, Header: reply.Header, Body: reply.Body}
 }
 
+// refused completes a decision by a refusal.
+func refused(d logger.Decision, r *exchanger.Refusal) logger.Decision {
+	d.Status, d.Reason, d.Ran, d.Detail = r.Status, string(r.Reason), string(r.Ran), r.Detail
+	return d
+}
+
 // admit finds out what the request is for. It takes no time.
 func (a *Admitter) admit(r *acceptor.Request) (*admission, *exchanger.Refusal) {
 	table := a.Table()
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -286,11 +286,7 @@
 		s.Config = current.State.Config
 	}
 	n.table.Publish(director.NewTable(s))
-	version := uint64(0)
-	if s.Config != nil {
-		version = s.Config.Version
-	}
-	n.settings.Logger.Infof("Revision %d is in force: configuration %d, out of service %v.", s.Revision, version, s.Evacuated)
+	n.settings.Logger.Infof("Revision %d is in force: configuration %d, out of service %v.", s.Revision, s.Version(), s.Evacuated)
 	n.guardian.Refresh()
 	n.shares.Set(n.table.Load())
 }
--- a/internal/director/table.go
+++ b/internal/director/table.go
@@ -65,6 +65,14 @@
 	return t
 }
 
+// Version returns the version of the configuration; 0 without one.
+func (s State) Version() uint64 {
+	if s.Config == nil {
+		return 0
+	}
+	return s.Config.Version
+}
+
 // Customer returns the customer of that name; nil for an unknown one.
 func (t *Table) Customer(name string) *Customer {
 	return t.customers[name]
--- a/internal/forwarder/trip.go
+++ b/internal/forwarder/trip.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/exchanger"
+	"github.com/flamingotack/flamingotack/internal/logger"
 	"github.com/flamingotack/flamingotack/internal/router"
 )
 
@@ -38,7 +39,17 @@
 		if !t.again(ctx, refusal) {
 			return nil, t.final(refusal)
 		}
-		t.forwarder.Logger.Infof("Request %s to %s: tries another node than %v after %q (ran: %s).", t.call.ID, t.call.Service, t.tried, refusal.Reason, refusal.Ran)
+		t.forwarder.Logger.Decision(logger.Decision{
+			Request: t.call.ID,
+			Route:   t.call.Route,
+			Service: t.call.Service,
+			Node:    t.tried[len(t.tried)-1],
+			Outcome: "Tries another node.",
+			Reason:  string(refusal.Reason),
+			Ran:     string(refusal.Ran),
+			Detail:  refusal.Detail,
+			Left:    t.call.Deadline.Sub(t.forwarder.Clock.Now()),
+		})
 	}
 }
 
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -164,7 +164,29 @@
 	answer, err := g.Backend.Send(ctx, g.request(c, id))
 	g.Ran(c.Route, started, g.Clock.Now())
 	if err != nil {
-		return nil, g.failed(ctx, err)
+		refusal := g.failed(ctx, err)
+		g.log(c, id, started, refusal)
+		return nil, refusal
+	}
+	reply, refusal := g.judge(answer, id)
+	if refusal != nil {
+		g.log(c, id, started, refusal)
 	}
-	return g.judge(answer, id)
+	return reply, refusal
+}
+
+// log tells what became of a call that was sent to the server.
+func (g *Guardian) log(c *exchanger.Call, id string, started time.Time, r *exchanger.Refusal) {
+	g.Logger.Decision(logger.Decision{
+		Request:  c.ID,
+		Route:    c.Route,
+		Customer: c.Customer,
+		Instance: id,
+		Outcome:  "Gets no answer from the backend server.",
+		Reason:   string(r.Reason),
+		Ran:      string(r.Ran),
+		Detail:   r.Detail,
+		Elapsed:  g.Clock.Now().Sub(started),
+		Left:     c.Deadline.Sub(g.Clock.Now()),
+	})
 }
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -218,7 +218,7 @@
 // start keeps the link until ctx ends or stop. It returns at once.
 func (k *link) start(ctx context.Context) {
 	ctx, k.cancel = context.WithCancel(ctx)
-	go k.keep(ctx)
+	k.owner.running.Go(func() { k.keep(ctx) })
 }
 
 func (k *link) stop() {
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -75,6 +75,9 @@
 		logger   *logger.Part
 		self     Member
 
+		// running are the goroutines of links and of connections.
+		running sync.WaitGroup
+
 		mu      sync.Mutex
 		ctx     context.Context
 		links   map[string]*link
@@ -171,7 +174,7 @@
 	l.changed++
 	k := newLink(l, m)
 	l.links[m.Name] = k
-	if l.ctx != nil {
+	if l.ctx != nil && l.ctx.Err() == nil {
 		k.start(l.ctx)
 	}
 }
@@ -187,8 +190,9 @@
 	return list
 }
 
-// Run keeps the links until ctx ends.
+// Run keeps the links until ctx ends, and returns once all have ended.
 func (l *Linker) Run(ctx context.Context) error {
+	defer l.running.Wait()
 	l.mu.Lock()
 	l.ctx = ctx
 	for _, k := range l.links {
@@ -200,6 +204,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			l.end()
 			return nil
 		case <-ticker.C:
 		}
@@ -239,6 +244,15 @@
 	return l.links[name]
 }
 
+// end makes sure that no link starts any more.
+func (l *Linker) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.links {
+		k.stop()
+	}
+}
+
 // newsInterval returns how often to tell the other nodes of the backend server:
 // more often while it has more work than it bears, as they decide by that what
 // begins. The caller holds the lock.
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -47,8 +47,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return startNodeAt(t, name, l, l.Addr().String())
+}
+
+// startNodeAt starts a node that tells others that address.
+func startNodeAt(t *testing.T, name string, l net.Listener, address string) *node {
+	t.Helper()
 	n := &node{
-		member: Member{Name: name, Incarnation: name + "-1", Address: l.Addr().String(), Service: "s", Domain: "d"},
+		member: Member{Name: name, Incarnation: name + "-1", Address: address, Service: "s", Domain: "d"},
 		loads:  map[string]guardian.Load{},
 	}
 	n.Linker = New(n.member, timekeeper.System{}, logger.New(t.Output(), "info", name), Handlers{
@@ -72,12 +78,14 @@
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { n.Run(ctx) })
+	running.Go(func() { n.Serve(ctx, l) })
 	t.Cleanup(func() {
 		cancel()
 		l.Close()
+		running.Wait()
 	})
-	go n.Run(ctx)
-	go n.Serve(ctx, l)
 	return n
 }
 
@@ -160,7 +168,13 @@
 // call runs there: the call ends as one that may have run, and new ones pass once
 // the way is back.
 func TestLinkThatFallsSilent(t *testing.T) {
-	a, b := startNode(t, "a"), startNode(t, "b")
+	a := startNode(t, "a")
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := startWire(t, l.Addr().String())
+	b := startNodeAt(t, "b", l, w.Addr().String())
 	running := make(chan struct{})
 	b.run = func(ctx context.Context, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
 		if c.ID == "1" {
@@ -169,10 +183,7 @@
 		}
 		return &exchanger.Reply{Status: 200}, nil
 	}
-	w := startWire(t, b.member.Address)
-	m := b.member
-	m.Address = w.Addr().String()
-	a.Meet(m, false)
+	a.Meet(b.member, false)
 	await(t, func() bool { return a.Up("b") })
 	go func() {
 		<-running
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -28,6 +28,7 @@
 		taker   *taker
 		session *session
 		ctx     context.Context
+		running sync.WaitGroup
 
 		mu sync.Mutex
 		// member is the other node, once it has told its name.
@@ -38,6 +39,8 @@
 )
 
 func serve(ctx context.Context, l *Linker, listener net.Listener) error {
+	var serving sync.WaitGroup
+	defer serving.Wait()
 	for {
 		socket, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -47,7 +50,7 @@
 			time.Sleep(time.Millisecond)
 			continue
 		}
-		go l.serveConn(ctx, socket)
+		serving.Go(func() { l.serveConn(ctx, socket) })
 	}
 }
 
@@ -81,6 +84,8 @@
 	go s.write()
 	s.read(r.take)
 	s.close()
+	cancel()
+	r.running.Wait()
 	return nil
 }
 
@@ -134,7 +139,7 @@
 	r.mu.Lock()
 	r.cancels[number] = cancel
 	r.mu.Unlock()
-	go r.run(ctx, number, c)
+	r.running.Go(func() { r.run(ctx, number, c) })
 }
 
 func (r *runs) cancel(number uint64) {
--- /dev/null
+++ b/internal/logger/bounded.go
@@ -0,0 +1,108 @@
+package logger
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+const (
+	// flushInterval is how often lines are written.
+	flushInterval = 250 * time.Millisecond
+	// maxBuffered bounds the lines that wait for a reader, in bytes.
+	maxBuffered = 256 << 10
+	// reservedPart is the part of the lines in a second that only warnings and
+	// errors may use.
+	reservedPart = 4
+)
+
+// Bounded is a writer that bounds the lines of each second and never waits for
+// who reads them: lines that come too fast, or that nobody reads, are left out and
+// counted. Make it by NewBounded. It is safe for concurrent use.
+type Bounded struct {
+	out  io.Writer
+	rate int
+	now  func() time.Time
+
+	mu     sync.Mutex
+	second time.Time
+	lines  int
+	buffer []byte
+	// tooFast and unread are the lines left out since this was last said.
+	tooFast, unread int
+}
+
+// NewBounded returns a Bounded that passes on at most rate lines a second.
+func NewBounded(out io.Writer, rate int) *Bounded {
+	return &Bounded{out: out, rate: rate, now: time.Now}
+}
+
+// Admit reports whether there is room for one more line now, and counts it.
+// important lines may use the whole rate, others three quarters of it.
+func (b *Bounded) Admit(important bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	if now.Sub(b.second) >= time.Second {
+		b.second = now
+		b.lines = 0
+	}
+	most := b.rate
+	if !important {
+		most -= b.rate / reservedPart
+	}
+	if b.lines >= most {
+		b.tooFast++
+		return false
+	}
+	b.lines++
+	return true
+}
+
+// Run writes lines until ctx ends, and then what is left.
+func (b *Bounded) Run(ctx context.Context) error {
+	ticker := time.NewTicker(flushInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return b.flush()
+		case <-ticker.C:
+			if err := b.flush(); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// Write keeps a line until it can be written. It never fails.
+func (b *Bounded) Write(line []byte) (n int, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.buffer)+len(line) > maxBuffered {
+		b.unread++
+		return len(line), nil
+	}
+	b.buffer = append(b.buffer, line...)
+	return len(line), nil
+}
+
+// flush writes what waits. It holds no lock while it does.
+func (b *Bounded) flush() error {
+	b.mu.Lock()
+	out := b.buffer
+	b.buffer = nil
+	if b.tooFast+b.unread > 0 {
+		out = fmt.Appendf(out, "{\"time\":%q,\"level\":\"warn\",\"message\":\"log: Left out %d lines above the rate and %d that were not read.\"}\n",
+			b.now().UTC().Format(time.RFC3339Nano), b.tooFast, b.unread)
+		b.tooFast, b.unread = 0, 0
+	}
+	b.mu.Unlock()
+	if len(out) == 0 {
+		return nil
+	}
+	_, err := b.out.Write(out)
+	return err
+}
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -11,40 +11,56 @@
 type Part struct {
 	base   *log.Logger
 	prefix string
+	// bounded decides which lines there is room for; nil for all.
+	bounded *Bounded
 }
 
 // New returns a log that writes lines of JSON to w. level is the least
-// important level that is written: debug, info, warn or error.
+// important level that is written: debug, info, warn or error. Where w is a
+// *Bounded, lines for which it has no room are not made at all.
 func New(w io.Writer, level string, node string) *Part {
 	base := &log.Logger{
 		Level:   log.ParseLevel(level),
 		Writer:  &log.IOWriter{Writer: w},
 		Context: log.NewContext(nil).Str("node", node).Value(),
 	}
-	return &Part{base: base, prefix: "node: "}
+	bounded, _ := w.(*Bounded)
+	return &Part{base: base, prefix: "node: ", bounded: bounded}
 }
 
 // Debugf logs a detail.
 func (p *Part) Debugf(format string, args ...any) {
-	p.base.Debug().Msgf(p.prefix+format, args...)
+	if p.base.Level <= log.DebugLevel && p.admit(false) {
+		p.base.Debug().Msgf(p.prefix+format, args...)
+	}
 }
 
 // Errorf logs a failure that needs an operator.
 func (p *Part) Errorf(format string, args ...any) {
-	p.base.Error().Msgf(p.prefix+format, args...)
+	if p.admit(true) {
+		p.base.Error().Msgf(p.prefix+format, args...)
+	}
 }
 
 // Infof logs a normal event.
 func (p *Part) Infof(format string, args ...any) {
-	p.base.Info().Msgf(p.prefix+format, args...)
+	if p.admit(false) {
+		p.base.Info().Msgf(p.prefix+format, args...)
+	}
 }
 
 // Part returns the log of the part of that name.
 func (p *Part) Part(name string) *Part {
-	return &Part{base: p.base, prefix: name + ": "}
+	return &Part{base: p.base, prefix: name + ": ", bounded: p.bounded}
 }
 
 // Warnf logs a failure that the node survives by itself.
 func (p *Part) Warnf(format string, args ...any) {
-	p.base.Warn().Msgf(p.prefix+format, args...)
+	if p.admit(true) {
+		p.base.Warn().Msgf(p.prefix+format, args...)
+	}
+}
+
+func (p *Part) admit(important bool) bool {
+	return p.bounded == nil || p.bounded.Admit(important)
 }
