--- a/internal/guardian/guardian_test.go
+++ b/internal/guardian/guardian_test.go
@@ -142,15 +142,15 @@
 		{"whole answer", sealed, 200, "", ""},
 		{"failure of the server", func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Seal", "s")
-			w.WriteHeader(500)
+			w.WriteHeader(http.StatusInternalServerError)
 		}, 500, "", ""},
 		{"success without a seal", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "x") }, 0, exchanger.RanUnknown, exchanger.ReasonBroken},
 		{"turned away", func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Not-Run", "1")
-			w.WriteHeader(503)
+			w.WriteHeader(http.StatusServiceUnavailable)
 		}, 0, exchanger.RanNo, exchanger.ReasonServerFull},
-		{"another server has the address", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(421) }, 0, exchanger.RanNo, exchanger.ReasonUnreachable},
-		{"plain 503 may have run", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, 503, "", ""},
+		{"another server has the address", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }, 0, exchanger.RanNo, exchanger.ReasonUnreachable},
+		{"plain 503 may have run", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, 503, "", ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -129,7 +129,7 @@
 		return false
 	}
 	conn := drpcconn.NewWithOptions(socket, drpcconn.Options{Manager: managerOptions()})
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	stream, err := framer.NewDRPCMeshClient(conn).Link(ctx)
 	if err != nil {
 		return false
--- a/internal/regulator/regulator_test.go
+++ b/internal/regulator/regulator_test.go
@@ -11,12 +11,11 @@
 // world is a deep service with its ingress nodes: what begins at an ingress
 // reaches the service later, and the service tells of it later still.
 type world struct {
-	now     time.Time
-	nodes   []*Regulator
-	random  *rand.Rand
-	bears   float64
-	cost    float64
-	arrives [][]float64
+	now    time.Time
+	nodes  []*Regulator
+	random *rand.Rand
+	bears  float64
+	cost   float64
 	// offered is the mean of the last 400 ms, as guards tell it.
 	offered []float64
 	step    int
