Let no request run behind the answer that ends its connection

Cause: found by the race detector in TestStopAnswersWhatWasRead. While a node drained, the first answer ended the connection though pipelined requests behind it already ran, and the reader still took new ones: they would have been cut without an answer.

Change: only an answer with nothing behind it ends the connection, and from then on no request is taken.

Test: TestDrainingAnswersWhatRuns; the race detector on whole nodes.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -154,6 +154,39 @@
 	wait(t, func() bool { return s.Busy() == 0 })
 }
 
+// TestDrainingAnswersWhatRuns lets the server drain while pipelined requests run:
+// all get their answers, the connection ends with the last one, and what comes
+// behind does not run.
+func TestDrainingAnswersWhatRuns(t *testing.T) {
+	var draining atomic.Bool
+	var ran atomic.Int64
+	release := make(chan struct{})
+	s, dial := testServer(t, func(_ context.Context, r *Request) *Response {
+		ran.Add(1)
+		<-release
+		return &Response{Status: http.StatusOK, Body: []byte(r.URL.Path)}
+	})
+	s.Draining = draining.Load
+	c := dial()
+	r := bufio.NewReader(c)
+	draining.Store(true)
+	fmt.Fprint(c, "GET /0 HTTP/1.1\r\nHost: a\r\n\r\nGET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	wait(t, func() bool { return ran.Load() == 3 })
+	close(release)
+	for i := range 3 {
+		if _, got := readResponse(t, r, http.MethodGet); got != fmt.Sprint("/", i) {
+			t.Errorf("got answer %q, want that of request %d", got, i)
+		}
+	}
+	fmt.Fprint(c, "GET /3 HTTP/1.1\r\nHost: a\r\n\r\n")
+	if data, _ := io.ReadAll(r); len(data) > 0 {
+		t.Errorf("got %q behind the last answer, want nothing", data)
+	}
+	if got := ran.Load(); got != 3 {
+		t.Errorf("got %d requests that ran, want 3", got)
+	}
+}
+
 func TestHeadHasNoBody(t *testing.T) {
 	_, dial := testServer(t, func(_ context.Context, _ *Request) *Response {
 		return &Response{Status: http.StatusOK, Header: http.Header{"Content-Length": {"4"}}}
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -87,10 +87,13 @@
 			}
 			break
 		}
-		e := &exchange{request: r.Request, last: r.Close || !r.ProtoAtLeast(1, 1)}
-		c.push(e)
+		last := r.Close || !r.ProtoAtLeast(1, 1)
+		e := &exchange{request: r.Request, last: last}
+		if !c.push(e) {
+			break
+		}
 		go c.run(ctx, e, r)
-		if e.last {
+		if last {
 			break
 		}
 	}
@@ -184,17 +187,25 @@
 		return false
 	}
 	e := &exchange{last: true}
-	c.push(e)
-	c.finish(e, &Response{Status: status})
+	if c.push(e) {
+		c.finish(e, &Response{Status: status})
+	}
 	return true
 }
 
-func (c *conn) push(e *exchange) {
+// push puts an exchange at the end of the queue; false once the last answer has
+// been written, so that no request runs whose answer could not follow.
+func (c *conn) push(e *exchange) bool {
 	c.slots <- struct{}{}
-	c.server.busy.Add(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closing {
+		<-c.slots
+		return false
+	}
+	c.server.busy.Add(1)
 	c.queue = append(c.queue, e)
+	return true
 }
 
 func (c *conn) run(ctx context.Context, e *exchange, r *Request) {
@@ -210,18 +221,20 @@
 // finish writes the answer, and those that waited behind it, once all before it
 // have been written.
 func (c *conn) finish(e *exchange, response *Response) {
-	if c.server.Draining() {
-		e.last = true
-	}
+	draining := c.server.Draining()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e.response = response
 	var out []byte
 	done, last := 0, false
-	for _, next := range c.queue {
+	for i, next := range c.queue {
 		if next.response == nil || last || c.closing {
 			break
 		}
+		if draining && i == len(c.queue)-1 {
+			// Nothing runs behind it, and nothing will.
+			next.last = true
+		}
 		last = next.last
 		out = appendResponse(out, next)
 		done++
