Tell pressed loads alone, and keep work in its failure domain longer

Ruled out: larger answers (sizes are the callers').

Change: a pressed guard tells its load alone; nodes on this path let work leave at 0.95, as guards queue for a short time.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -22,6 +22,10 @@
 )
 
 const (
+	// spill is the part of the capacity of the own failure domain in use from
+	// which work leaves it. Guards queue for a short time, so it is near the
+	// whole.
+	spill = 0.95
 	// maxClosed bounds the nodes that are asked after others said that they
 	// take no work for a cause of their own.
 	maxClosed = 4
@@ -101,7 +105,7 @@
 	return &Forwarder{
 		Settings:  s,
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		router:    router.Router{Domain: s.Self.Domain, Region: region},
+		router:    router.Router{Domain: s.Self.Domain, Region: region, Spill: spill},
 		allowance: retrier.Allowance{Ratio: s.RepeatRatio, Slack: s.RepeatSlack},
 		fans:      map[string]map[string]linker.Fans{},
 		trees:     map[branch]map[branch]float64{},
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -37,7 +37,9 @@
 		pending map[uint64]*pending
 		number  uint64
 		pinged  time.Time
-		told    time.Time
+		// told is when news were last sent, and loaded when at least the load
+		// was.
+		told, loaded time.Time
 	}
 
 	// pending is an exchange whose answer is due.
@@ -90,8 +92,8 @@
 	return k.number, p
 }
 
-// check pings a link on which an answer is due, ends a silent one, and tells
-// news once in an interval.
+// check pings a link on which an answer is due, ends a silent one, and tells the
+// load once in an interval.
 func (k *link) check(now time.Time, interval time.Duration) {
 	s := k.current.Load()
 	if s == nil {
@@ -112,9 +114,13 @@
 		k.owner.logger.Warnf("Link to node %s is silent for %s.", k.member.Name, quiet)
 		s.close()
 	}
-	if now.Sub(k.told) >= interval {
-		k.told = now
+	switch {
+	case now.Sub(k.told) >= newsInterval:
+		k.told, k.loaded = now, now
 		s.put(k.owner.news(false))
+	case now.Sub(k.loaded) >= interval:
+		k.loaded = now
+		s.put(&framer.Frame{Load: fromLoad(k.owner.handlers.Load())})
 	}
 }
 
@@ -140,6 +146,7 @@
 	first.News.Peers = k.owner.peers()
 	s.put(first)
 	k.told = k.owner.clock.Now()
+	k.loaded = k.told
 	k.current.Store(s)
 	k.owner.logger.Infof("Link to node %s stands.", k.member.Name)
 	go s.write()
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -27,10 +27,10 @@
 	// nothing else does.
 	newsInterval = 1500 * time.Millisecond
 	// pressed is the offered work, in parts of what a backend server bears,
-	// from which on news go out more often: each newsPerLink for every link,
-	// which bounds what they cost in large deployments.
+	// from which on its load is told more often: each loadPerLink for every
+	// link, which bounds what that costs in large deployments.
 	pressed     = 0.7
-	newsPerLink = 3 * time.Millisecond
+	loadPerLink = 3 * time.Millisecond
 	// pingAfter is how long a link on which an answer is due may carry nothing
 	// before it is pinged, and silentAfter before it counts as silent.
 	pingAfter   = 400 * time.Millisecond
@@ -209,7 +209,7 @@
 		case <-ticker.C:
 		}
 		l.mu.Lock()
-		now, interval := l.clock.Now(), l.newsInterval()
+		now, interval := l.clock.Now(), l.loadInterval()
 		for _, k := range l.links {
 			k.check(now, interval)
 		}
@@ -253,15 +253,15 @@
 	}
 }
 
-// newsInterval returns how often to tell the other nodes of the backend server:
-// more often while it has more work than it bears, as they decide by that what
-// begins. The caller holds the lock.
-func (l *Linker) newsInterval() time.Duration {
+// loadInterval returns how often to tell the other nodes the backend server's
+// load: more often while it has more work than it bears, as they decide by that
+// what begins. The caller holds the lock.
+func (l *Linker) loadInterval() time.Duration {
 	load := l.handlers.Load()
 	if load.Closed || load.Offered < pressed*float64(load.Limit) {
 		return newsInterval
 	}
-	return min(newsInterval, max(checkInterval, newsPerLink*time.Duration(len(l.links))))
+	return min(newsInterval, max(checkInterval, loadPerLink*time.Duration(len(l.links))))
 }
 
 func unreachable(name string) *exchanger.Refusal {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -4,6 +4,7 @@
 package router
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/exchanger"
@@ -39,9 +40,8 @@
 	reportLife = 300 * time.Millisecond
 	// loadLife is how long its word on its load holds.
 	loadLife = 2 * time.Second
-	// spill is the part of the capacity in use from which work goes to the
-	// next wider circle of failure domains.
-	spill = 0.8
+	// defaultSpill stands for a Spill that is not set.
+	defaultSpill = 0.8
 	// unknownLimit is what a node gets of which nothing is known yet.
 	unknownLimit = 1
 )
@@ -84,6 +84,9 @@
 	Router struct {
 		// Domain is the own failure domain and Region its region.
 		Domain, Region string
+		// Spill is the part of the capacity in use from which work goes to the
+		// next wider circle of failure domains; 0 stands for 0.8.
+		Spill float64
 
 		nodes  map[string]*node
 		usable []choice
@@ -170,6 +173,7 @@
 // circle returns the usable nodes of the narrowest circle that has room.
 func (r *Router) circle(now time.Time, p exchanger.Priority) []choice {
 	limit, load := 0.0, 0.0
+	spill := cmp.Or(r.Spill, defaultSpill)
 	end := 0
 	for c := circleDomain; c <= circleAll; c++ {
 		for end < len(r.usable) && r.usable[end].circle == c {
