--- a/internal/guardian/gate.go
+++ b/internal/guardian/gate.go
@@ -118,9 +118,6 @@
 	if g.cold(now) {
 		l.Limit = min(l.Limit, max(1, int(g.bounds.warmRate*l.Service.Seconds())))
 	}
-	if excess := l.Running + l.Queued - l.Limit; excess >= 0 {
-		l.Wait = l.Service * time.Duration(excess+1) / time.Duration(l.Limit)
-	}
 	l.Offered = g.offered.at(now)
 }
 
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -48,8 +48,6 @@
 		Closed bool
 		// Service is the mean time that a call takes.
 		Service time.Duration
-		// Wait is how long a new call would wait.
-		Wait time.Duration
 	}
 
 	// Settings are what a Guardian works with.
--- a/internal/linker/convert.go
+++ b/internal/linker/convert.go
@@ -80,7 +80,6 @@
 		Queued:        int32(l.Queued),
 		Closed:        l.Closed,
 		ServiceMicros: l.Service.Microseconds(),
-		WaitMicros:    l.Wait.Microseconds(),
 		Offered:       float32(l.Offered),
 	}
 }
@@ -132,7 +131,6 @@
 		Queued:   int(m.GetQueued()),
 		Closed:   m.GetClosed(),
 		Service:  time.Duration(m.GetServiceMicros()) * time.Microsecond,
-		Wait:     time.Duration(m.GetWaitMicros()) * time.Microsecond,
 		Offered:  float64(m.GetOffered()),
 	}
 }
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -78,10 +78,9 @@
 		// running are the goroutines of links and of connections.
 		running sync.WaitGroup
 
-		mu      sync.Mutex
-		ctx     context.Context
-		links   map[string]*link
-		servers map[*session]struct{}
+		mu    sync.Mutex
+		ctx   context.Context
+		links map[string]*link
 		// gone are the incarnations that have left for good: others may still
 		// tell of them.
 		gone map[string]struct{}
@@ -108,7 +107,6 @@
 		logger:   l,
 		self:     self,
 		links:    map[string]*link{},
-		servers:  map[*session]struct{}{},
 		gone:     map[string]struct{}{},
 	}
 }
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -79,8 +79,6 @@
 		cancels: map[uint64]context.CancelFunc{},
 		partial: map[uint64]*exchanger.Call{},
 	}
-	t.linker.keepServer(s, true)
-	defer t.linker.keepServer(s, false)
 	go s.write()
 	s.read(r.take)
 	s.close()
@@ -179,16 +177,6 @@
 	}
 }
 
-func (l *Linker) keepServer(s *session, keep bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if keep {
-		l.servers[s] = struct{}{}
-		return
-	}
-	delete(l.servers, s)
-}
-
 // news returns what the node tells about itself.
 func (l *Linker) news(gone bool) *framer.Frame {
 	n := &framer.News{
--- a/internal/regulator/regulator.go
+++ b/internal/regulator/regulator.go
@@ -16,11 +16,16 @@
 	// Ranks is the number of ranks of requests; rank 0 is refused last.
 	Ranks = 8
 
-	// target is the offered work, in parts of what the servers bear, that the
-	// budgets bring about.
-	target = 0.97
-	// onset is the pressure from which on a service is short.
-	onset = 1.05
+	// fullTarget is the offered work, in parts of what the servers bear, that
+	// the budgets bring about where servers are large, as guards queue a
+	// little. What fluctuates takes headroom in proportion to the square root
+	// of the slots (Halfin, Whitt: "Heavy-Traffic Limits for Queues with Many
+	// Exponential Servers", 1981).
+	fullTarget = 1.1
+	headroom   = 0.5
+	// onset is how far above the target the pressure is from which on a service
+	// is short.
+	onset = 0.1
 	// seenFrom and seenTo bound how long ago the budgets were in force whose
 	// effect a report shows: calls take time to reach the guards, and guards
 	// average.
@@ -135,9 +140,10 @@
 	v.reported = now
 	v.bears = max(bears, 1)
 	pressure := offered / v.bears
+	target := v.target()
 	least := leastPart / float64(max(1, r.Nodes))
 	switch {
-	case !v.short && pressure > onset:
+	case !v.short && pressure > target+onset:
 		v.begin(now, max(least, v.admitted/admittedTime.Seconds()*target/offered), pressure)
 	case v.short && now.Sub(v.refused) > idleTime && pressure < target:
 		v.short = false
@@ -148,6 +154,12 @@
 	}
 }
 
+// target returns the offered work that the budgets bring about, in parts of what
+// the servers bear.
+func (v *valve) target() float64 {
+	return max(1-headroom, fullTarget-headroom/math.Sqrt(v.bears))
+}
+
 // Budget returns the budget for a service in seconds of slots a second; none
 // while the service is not short.
 func (r *Regulator) Budget(service string) (budget float64, short bool) {
@@ -167,7 +179,7 @@
 	v.refused = now
 	v.stepped = now
 	for i := range v.past {
-		v.past[i] = part * pressure / target
+		v.past[i] = part * pressure / v.target()
 	}
 }
 
