--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -142,6 +142,12 @@
 	return n.guardian.Leave(id, born)
 }
 
+// Open returns the number of other nodes of a service that take requests, as this
+// one knows.
+func (n *Node) Open(service string) int {
+	return n.forwarder.Open(service)
+}
+
 // Ready reports whether callers should use the node.
 func (n *Node) Ready() bool {
 	return !n.stopping.Load() && n.table.Load().Ready()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -135,6 +135,21 @@
 	return len(f.members)
 }
 
+// Open returns the number of nodes of a service that can be reached and say that
+// their backend servers take requests.
+func (f *Forwarder) Open(service string) (count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh()
+	for _, c := range f.crowds[service] {
+		r, told := f.loads[c.Name]
+		if told && !r.load.Closed && f.Links.Up(c.Name) {
+			count++
+		}
+	}
+	return count
+}
+
 // TakeFans takes what a node tells of its backend server's calls.
 func (f *Forwarder) TakeFans(m linker.Member, fans map[string]linker.Fans) {
 	f.mu.Lock()
