Refuse roots at once whose service below has no open server

Change: a root is refused with a time to come back when nine in ten of its trees call a service whose nodes all say that they are closed. A node that says nothing counts as open.

--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -27,6 +27,10 @@
 	leastRetry = 400 * time.Millisecond
 	// defaultHeld stands for the time that a call takes until it is known.
 	defaultHeld = 50 * time.Millisecond
+	// neededPart is the part of the trees of a route that call a service from
+	// which on the route is not begun while no server of that service takes
+	// requests.
+	neededPart = 0.9
 	// heldGain weighs a new time against the mean of those before.
 	heldGain = 0.05
 )
@@ -49,6 +53,11 @@
 	f.refresh()
 	now := f.Clock.Now()
 	f.measure(now)
+	if service, found := f.closedBelow(c, now); found {
+		refusal := noServer(service)
+		refusal.RetryAfter = f.spread(closedRetry)
+		return refusal
+	}
 	digest := xxh3.HashString(c.Customer + " " + c.Method + " " + c.Host + c.Target)
 	rank := 2*int(c.Priority) + 1
 	if at, refused := f.refused[digest]; refused && now.Sub(at) < returnTime {
@@ -75,11 +84,38 @@
 	return time.Duration(float64(left) * (retryFrom + (retryTo-retryFrom)*f.random.Float64()))
 }
 
+// closedBelow returns a service that nearly every call of the route needs and
+// that has no server which takes requests. The caller holds the lock.
+func (f *Forwarder) closedBelow(c *exchanger.Call, now time.Time) (service string, found bool) {
+	for b, n := range f.tree(c.Route, c.Service) {
+		if n.part >= neededPart && b.service != c.Service && f.closed(b.service, now) {
+			return b.service, true
+		}
+	}
+	return "", false
+}
+
+// closed reports whether every node of a service says that its backend server
+// takes no requests. A node that says nothing may have one that does. The caller
+// holds the lock.
+func (f *Forwarder) closed(service string, now time.Time) bool {
+	if service == f.Self.Service {
+		return false
+	}
+	for _, c := range f.crowds[service] {
+		r, told := f.loads[c.Name]
+		if !told || !r.load.Closed || now.Sub(r.taken) > loadLife {
+			return false
+		}
+	}
+	return true
+}
+
 // costs returns for how many seconds a call occupies slots of each service. The
 // caller holds the lock.
 func (f *Forwarder) costs(c *exchanger.Call) map[string]float64 {
 	costs := map[string]float64{}
-	for b, calls := range f.tree(c.Route, c.Service) {
+	for b, n := range f.tree(c.Route, c.Service) {
 		held := f.held[b.service]
 		if known := f.routes[b.route]; known > 0 {
 			held = known
@@ -87,7 +123,7 @@
 		if held <= 0 {
 			held = defaultHeld
 		}
-		costs[b.service] += calls * held.Seconds()
+		costs[b.service] += n.calls * held.Seconds()
 	}
 	return costs
 }
--- a/internal/forwarder/fans.go
+++ b/internal/forwarder/fans.go
@@ -13,10 +13,20 @@
 	leastCalls = 0.01
 )
 
-// branch is one step of a tree: calls of a route to a service.
-type branch struct {
-	route, service string
-}
+type (
+	// branch is one step of a tree: calls of a route to a service.
+	branch struct {
+		route, service string
+	}
+
+	// need is how much a tree has of a branch.
+	need struct {
+		// calls is the mean number of calls.
+		calls float64
+		// part is the part of the trees that make any such call, at least.
+		part float64
+	}
+)
 
 // meanFans returns the mean number of calls that a run of a route makes, by
 // route. The caller holds the lock.
@@ -39,32 +49,34 @@
 	return mean
 }
 
-// tree returns the number of calls that a call of a route to a service brings,
-// itself included. The result is kept until the fans or the routes change and is
+// tree returns the calls that a call of a route to a service brings, itself
+// included. The result is kept until the fans or the routes change and is
 // not changed. The caller holds the lock.
-func (f *Forwarder) tree(route, service string) map[branch]float64 {
+func (f *Forwarder) tree(route, service string) map[branch]need {
 	root := branch{route, service}
 	if known := f.trees[root]; known != nil {
 		return known
 	}
-	total := map[branch]float64{}
-	f.addTree(total, root, 1, maxTreeDepth)
+	total := map[branch]need{}
+	f.addTree(total, root, need{calls: 1, part: 1}, maxTreeDepth)
 	f.trees[root] = total
 	return total
 }
 
-func (f *Forwarder) addTree(total map[branch]float64, b branch, times float64, depth int) {
-	total[b] += times
-	if depth == 0 || times < leastCalls {
+func (f *Forwarder) addTree(total map[branch]need, b branch, n need, depth int) {
+	known := total[b]
+	total[b] = need{calls: known.calls + n.calls, part: max(known.part, n.part)}
+	if depth == 0 || n.calls < leastCalls {
 		return
 	}
-	for called, n := range f.meanFans(b.route) {
+	for called, fan := range f.meanFans(b.route) {
 		route := f.Table().Named(called)
 		if route == nil {
 			continue
 		}
 		for _, p := range shares(route) {
-			f.addTree(total, branch{called, p.Service}, times*n*p.Weight, depth-1)
+			below := need{calls: n.calls * fan * p.Weight, part: n.part * min(fan, 1) * p.Weight}
+			f.addTree(total, branch{called, p.Service}, below, depth-1)
 		}
 	}
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -55,7 +55,7 @@
 		// by the route of the runs.
 		fans map[string]map[string]linker.Fans
 		// trees are those that fans and treesOf give.
-		trees   map[branch]map[branch]float64
+		trees   map[branch]map[branch]need
 		treesOf *director.Table
 		// loads are the newest loads, by node.
 		loads     map[string]loadReport
@@ -108,7 +108,7 @@
 		router:    router.Router{Domain: s.Self.Domain, Region: region, Spill: spill},
 		allowance: retrier.Allowance{Ratio: s.RepeatRatio, Slack: s.RepeatSlack},
 		fans:      map[string]map[string]linker.Fans{},
-		trees:     map[branch]map[branch]float64{},
+		trees:     map[branch]map[branch]need{},
 		loads:     map[string]loadReport{},
 		held:      map[string]time.Duration{},
 		routes:    map[string]time.Duration{},
@@ -252,8 +252,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	cost := map[string]float64{}
-	for b, calls := range f.tree(c.Route, c.Service) {
-		cost[b.service] += calls
+	for b, n := range f.tree(c.Route, c.Service) {
+		cost[b.service] += n.calls
 	}
 	return f.allowance.Spend(f.Clock.Now(), cost, len(f.members))
 }
@@ -266,6 +266,12 @@
 	f.allowance.Earn(f.Clock.Now(), service, len(f.members))
 }
 
+// spread returns a random time from least to twice that, so that callers do not
+// come back together. The caller holds the lock.
+func (f *Forwarder) spread(least time.Duration) time.Duration {
+	return time.Duration(float64(least) * (1 + f.random.Float64()))
+}
+
 func report(m linker.Member, l guardian.Load) router.Report {
 	return router.Report{
 		Incarnation: m.Incarnation,
@@ -278,9 +284,9 @@
 	}
 }
 
-// closed reports whether a node turned a call away for a cause of its own that
+// turnedAway reports whether a node turned a call away for a cause of its own that
 // has nothing to do with load.
-func closed(r *exchanger.Refusal) bool {
+func turnedAway(r *exchanger.Refusal) bool {
 	switch r.Reason {
 	case exchanger.ReasonDraining, exchanger.ReasonNotReady, exchanger.ReasonOutOfService, exchanger.ReasonUnreachable:
 		return r.Ran == exchanger.RanNo
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -168,3 +168,53 @@
 		t.Errorf("got %d calls sent or refused, want 400: a refused one must not be sent", got)
 	}
 }
+
+// TestRootIsNotBegunWithoutServersBelow lets every server of a deep service
+// leave: requests that need it are refused before any call, others go on, and
+// all do as soon as one server is back or a node's state is not known.
+func TestRootIsNotBegunWithoutServersBelow(t *testing.T) {
+	closed := guardian.Load{Sequence: 1, Closed: true}
+	open := guardian.Load{Sequence: 1, Limit: 10}
+	tests := []struct {
+		name string
+		// loads are those of the deep service's nodes; nil stands for a node
+		// that tells nothing.
+		loads []*guardian.Load
+		fan   float64
+		want  bool
+	}{
+		{"no nodes are left", nil, 2, false},
+		{"all are closed", []*guardian.Load{&closed, &closed}, 2, false},
+		{"one is open", []*guardian.Load{&closed, &open}, 2, true},
+		{"one tells nothing", []*guardian.Load{&closed, nil}, 2, true},
+		{"few requests need it", []*guardian.Load{&closed}, 0.3, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f, l := newFixture(t, 3)
+			table := director.NewTable(director.State{Config: &director.Config{Routes: []director.Route{
+				{Name: "feed", Parts: []director.Part{{Service: "deep", Weight: 1}}},
+			}}})
+			f.Table = func() *director.Table { return table }
+			for i := range tt.loads {
+				l.members = append(l.members, linker.Member{Name: fmt.Sprint("deep", i), Incarnation: "1", Service: "deep", Domain: "d0"})
+			}
+			f.TakeFans(l.members[0], map[string]linker.Fans{"book": {"feed": tt.fan}})
+			for i, load := range tt.loads {
+				if load != nil {
+					f.TakeLoad(l.members[3+i], *load)
+				}
+			}
+			_, refusal := f.Forward(t.Context(), call(false), &director.Route{Attempts: 1})
+			if got := refusal == nil; got != tt.want {
+				t.Fatalf("got begun %t (%v), want %t", got, refusal, tt.want)
+			}
+			if refusal == nil {
+				return
+			}
+			if refusal.Reason != exchanger.ReasonNoServer || refusal.Ran != exchanger.RanNo || refusal.RetryAfter <= 0 || len(l.sent) != 0 {
+				t.Errorf("got %v after %d calls, want a refusal as not run, with a time to come back, before any call", refusal, len(l.sent))
+			}
+		})
+	}
+}
--- a/internal/forwarder/trip.go
+++ b/internal/forwarder/trip.go
@@ -67,7 +67,7 @@
 		broken := r.Reason == exchanger.ReasonBroken || r.Reason == exchanger.ReasonSilent
 		return broken && t.call.Repeatable && t.attempts > 0 && t.forwarder.spend(t.call)
 	}
-	if closed(r) {
+	if turnedAway(r) {
 		t.closed++
 		return t.closed <= maxClosed
 	}
@@ -108,12 +108,12 @@
 	final := *last
 	if final.Ran == exchanger.RanNo {
 		least := fullRetry
-		if closed(last) || last.Reason == exchanger.ReasonNoServer {
+		if turnedAway(last) || last.Reason == exchanger.ReasonNoServer {
 			least = closedRetry
 		}
 		t.forwarder.mu.Lock()
 		defer t.forwarder.mu.Unlock()
-		final.RetryAfter = time.Duration(float64(least) * (1 + t.forwarder.random.Float64()))
+		final.RetryAfter = t.forwarder.spread(least)
 	}
 	return &final
 }
