Tell a customer that it is over its rate only if somebody who knows said so

Ruled out: a longer wait for the holder; it would hold requests back.

Change: without a word from a lender within a second the answer is 503, 'no node that knows the rate answers', not run, with a time to come back.

Before: 429 in all three cases of the new test; after: 503, 503, 429.

--- a/account.go
+++ b/account.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/holder"
 	"github.com/flamingotack/flamingotack/internal/throttler"
 	"github.com/flamingotack/flamingotack/internal/tracker"
@@ -19,6 +21,8 @@
 	// a new holder, each for at most moveWait.
 	moveTime = 2 * time.Second
 	moveWait = 500 * time.Millisecond
+	// toldLife is how long the word of a lender that has no token counts.
+	toldLife = time.Second
 	// renewTimeout is how long the holder may take to renew a share.
 	renewTimeout = 400 * time.Millisecond
 )
@@ -63,6 +67,23 @@
 	}
 )
 
+// unheard reports whether nobody who knows the customer's rate has said lately
+// that it is used up.
+func (a *account) unheard() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.bucket.Holds() && a.node.edges.Clock.Now().Sub(a.heard) > toldLife
+}
+
+// refusal returns the refusal of a request that got no token: the customer is
+// over its rate only if somebody who knows says so.
+func (a *account) refusal() *exchanger.Refusal {
+	if a.unheard() {
+		return exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonUnreachable, "no node that knows the rate of customer %q answers", a.customer)
+	}
+	return exchanger.NotRun(http.StatusTooManyRequests, exchanger.ReasonRate, "customer %q is over its rate", a.customer)
+}
+
 func newAccount(n *Node, customer string) *account {
 	return &account{
 		node:     n,
--- a/throttle.go
+++ b/throttle.go
@@ -43,8 +43,9 @@
 	if c == nil {
 		return nil, exchanger.NotRun(http.StatusUnauthorized, exchanger.ReasonKeyUnknown, "customer %q is unknown", r.Customer)
 	}
-	if retry, admitted := t.account(c.Name).admit(ctx); !admitted {
-		refusal := exchanger.NotRun(http.StatusTooManyRequests, exchanger.ReasonRate, "customer %q is over its rate", r.Customer)
+	a := t.account(c.Name)
+	if retry, admitted := a.admit(ctx); !admitted {
+		refusal := a.refusal()
 		refusal.RetryAfter = retry
 		return nil, refusal
 	}
--- a/throttle_test.go
+++ b/throttle_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/authenticator"
+	"github.com/flamingotack/flamingotack/internal/exchanger"
 )
 
 const (
@@ -151,3 +152,29 @@
 		}
 	}
 }
+
+// TestReasonWhenNobodyKnowsTheRate lets lenders answer long ago, lately and
+// never: a customer is told that it is over its rate only if somebody said so.
+func TestReasonWhenNobodyKnowsTheRate(t *testing.T) {
+	f := newTestFleet(t, rateManifest())
+	n := f.add("slotboard-1", "slotboard", "ahmedabad")
+	f.ready()
+	tests := []struct {
+		name  string
+		heard time.Time
+		want  int
+	}{
+		{"never", time.Time{}, http.StatusServiceUnavailable},
+		{"long ago", time.Now().Add(-time.Minute), http.StatusServiceUnavailable},
+		{"lately", time.Now(), http.StatusTooManyRequests},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := newAccount(n, "pond-a")
+			a.heard = tt.heard
+			if got := a.refusal(); got.Status != tt.want || got.Ran != exchanger.RanNo {
+				t.Errorf("got %v, want status %d, not run", got, tt.want)
+			}
+		})
+	}
+}
