Let customers over their rate come back while the answer can be in time

Change: ComeBack in retrier, which roots refused for overload used, also serves those over their rate; the least is one token of the whole rate. The rationer's Wait has no user any more and goes.

What is still late is not explained by rates.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,6 +16,7 @@
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/logger"
+	"github.com/flamingotack/flamingotack/internal/retrier"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
 
@@ -49,8 +51,8 @@
 	// Rates charge the rates of customers.
 	Rates interface {
 		// Charge takes a token of the customer; false when it is over its
-		// rate, with the time after which it should come back.
-		Charge(ctx context.Context, c *director.Customer) (retry time.Duration, admitted bool)
+		// rate.
+		Charge(ctx context.Context, c *director.Customer) (admitted bool)
 		// Refund gives back the token of a request that has not run.
 		Refund(c *director.Customer)
 	}
@@ -227,6 +229,16 @@
 	return min(route.Timeout, time.Duration(millis*float64(time.Millisecond)))
 }
 
+// overRate refuses a request of a customer over its rate, which should come back
+// when there is another token, yet in time if it can.
+func (a *Admitter) overRate(n *admission) *exchanger.Refusal {
+	refusal := exchanger.NotRun(http.StatusTooManyRequests, exchanger.ReasonRate, "customer %q is over its rate", n.customer.Name)
+	token := time.Duration(float64(time.Second) / n.customer.Rate)
+	comeBack := retrier.ComeBack(n.call.Objective.Sub(a.Clock.Now()), rand.Float64())
+	refusal.RetryAfter = max(token, comeBack)
+	return refusal
+}
+
 // part returns the service that gets the request, so that each part of a route
 // gets its share of any few requests in a row.
 func (a *Admitter) part(route *director.Route) string {
@@ -271,10 +283,8 @@
 		a.Forwarder.Earn(n.call.Service)
 	}
 	if n.customer != nil && n.customer.Rate > 0 {
-		if retry, admitted := a.Rates.Charge(ctx, n.customer); !admitted {
-			refusal := exchanger.NotRun(http.StatusTooManyRequests, exchanger.ReasonRate, "customer %q is over its rate", n.customer.Name)
-			refusal.RetryAfter = retry
-			return nil, refusal
+		if !a.Rates.Charge(ctx, n.customer) {
+			return nil, a.overRate(n)
 		}
 	}
 	reply, refusal := a.Forwarder.Forward(ctx, n.call, n.route)
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -53,9 +54,9 @@
 	return &exchanger.Reply{Status: 200, Body: []byte("whole")}, nil
 }
 
-func (r *countingRates) Charge(context.Context, *director.Customer) (time.Duration, bool) {
+func (r *countingRates) Charge(context.Context, *director.Customer) bool {
 	r.tokens--
-	return time.Second, r.tokens >= 0
+	return r.tokens >= 0
 }
 
 func (r *countingRates) Refund(*director.Customer) { r.refunds++ }
@@ -143,6 +144,35 @@
 	}
 }
 
+// TestOverRateComesBackInTime lets customers of small and large rates go over
+// them: they come back when there may be a token, and while the answer can be in
+// time if the rate allows that.
+func TestOverRateComesBackInTime(t *testing.T) {
+	tests := []struct {
+		name     string
+		rate     float64
+		from, to time.Duration
+	}{
+		{"large rate", 500, 240 * time.Millisecond, 500 * time.Millisecond},
+		{"small rate", 0.5, 2 * time.Second, 2 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.rates.tokens = 0
+			f.table.State.Config.Customers[0].Rate = tt.rate
+			r := f.request(t, "GET /view/1 HTTP/1.1\nHost: a\nAttempt: 1\nAuthorization: Bearer k1")
+			seconds, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := time.Duration(seconds * float64(time.Second)); got < tt.from || got > tt.to {
+				t.Errorf("got Retry-After %s, want %s to %s", got, tt.from, tt.to)
+			}
+		})
+	}
+}
+
 // TestWhatACallCarries checks the call of a request that tries to pass for
 // somebody else.
 func TestWhatACallCarries(t *testing.T) {
--- a/internal/admitter/rates.go
+++ b/internal/admitter/rates.go
@@ -27,8 +27,6 @@
 	// no tokens; each further time doubles it up to lastPause.
 	firstPause = 50 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
-	// rateRetry is how long a customer over its rate should wait at least.
-	rateRetry = 500 * time.Millisecond
 	// milli is the number of thousandths in a token.
 	milli = 1000
 )
@@ -89,18 +87,10 @@
 	return &Shares{clock: clock, lenders: lenders, slack: slack, pauses: map[string]pause{}, gave: map[gift]int64{}}
 }
 
-// Charge takes a token of the customer.
-func (s *Shares) Charge(ctx context.Context, c *director.Customer) (retry time.Duration, admitted bool) {
+// Charge takes a token of the customer; false when it is over its rate.
+func (s *Shares) Charge(ctx context.Context, c *director.Customer) (admitted bool) {
 	nodes := s.lenders.Nodes()
-	if s.spend(c, nodes) {
-		return 0, true
-	}
-	if s.borrow(ctx, c, nodes) {
-		return 0, true
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return max(rateRetry, s.ration.Wait(c.Name)), false
+	return s.spend(c, nodes) || s.borrow(ctx, c, nodes)
 }
 
 // Give gives tokens away to another node, in thousandths.
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -8,6 +8,7 @@
 
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/guardian"
+	"github.com/flamingotack/flamingotack/internal/retrier"
 )
 
 const (
@@ -20,11 +21,6 @@
 	// known as one that was refused.
 	returnTime = 5 * time.Second
 	maxRefused = 8192
-	// retryFrom and retryTo bound when a refused request should come back, in
-	// parts of the time until its answer is late, leastRetry that time.
-	retryFrom  = 0.25
-	retryTo    = 0.5
-	leastRetry = 400 * time.Millisecond
 	// defaultHeld stands for the time that a call takes until it is known.
 	defaultHeld = 50 * time.Millisecond
 	// neededPart is the part of the trees of a route that call a service from
@@ -72,18 +68,10 @@
 	}
 	f.refused[digest] = now
 	refusal := exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonOverload, "the services below %q bear no more requests of rank %d", c.Service, rank)
-	refusal.RetryAfter = f.retryAfter(c, now)
+	refusal.RetryAfter = retrier.ComeBack(c.Objective.Sub(now), f.random.Float64())
 	return refusal
 }
 
-// retryAfter returns when a caller should come back whose request would not fit
-// now: soon enough for its answer to be in time, if there is room then, and
-// spread. The caller holds the lock.
-func (f *Forwarder) retryAfter(c *exchanger.Call, now time.Time) time.Duration {
-	left := max(c.Objective.Sub(now), leastRetry)
-	return time.Duration(float64(left) * (retryFrom + (retryTo-retryFrom)*f.random.Float64()))
-}
-
 // closedBelow returns a service that nearly every call of the route needs and
 // that has no server which takes requests. The caller holds the lock.
 func (f *Forwarder) closedBelow(c *exchanger.Call, now time.Time) (service string, found bool) {
--- a/internal/rationer/rationer.go
+++ b/internal/rationer/rationer.go
@@ -94,15 +94,6 @@
 	}
 }
 
-// Wait returns when the node's own part brings the next token.
-func (r *Rationer) Wait(customer string) time.Duration {
-	b := r.buckets[customer]
-	if b == nil || b.limit.Rate <= 0 || b.tokens >= 1 {
-		return 0
-	}
-	return time.Duration((1 - b.tokens) * float64(b.nodes) / b.limit.Rate * float64(time.Second))
-}
-
 // bucket returns the bucket of a customer, filled up to now. A new one is
 // empty.
 func (r *Rationer) bucket(now time.Time, customer string, limit Limit, nodes int) *bucket {
