Tell other nodes only what changed, and send members and states on request

A count of the frames by kind (trial) showed for each node 1.67 MB of news, mostly the lists of all members that each pair exchanged at its start, and up to 0.93 MB of configurations, as every node that was a moment ahead sent its own to every one behind; calls were the smaller part on most nodes.

Ruled out: fewer news alone; the repeated part was 0.4 MB a node.

Change: loads go out alone with the revision of the state, every 1.5 s or 9 ms for each link; the rest of the news at the start, when fans changed by a tenth and every 15 s, with a digest of the members. Who finds another digest asks that node for its members, once a second at most. Who hears of a newer revision asks one node for it at the next look at the links, the nearest first, so that its own source can be first. Loads count 5 s.

--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -16,7 +16,7 @@
 	// out.
 	pressureInterval = 50 * time.Millisecond
 	// loadLife is how long the load of a guard counts.
-	loadLife = 4 * time.Second
+	loadLife = 5 * time.Second
 	// returnTime is how long after its refusal a request that comes again is
 	// known as one that was refused.
 	returnTime = 5 * time.Second
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -40,6 +40,8 @@
 		// told is when news were last sent, and loaded when at least the load
 		// was.
 		told, loaded time.Time
+		// fansCount is the owner's when news were last sent.
+		fansCount uint64
 	}
 
 	// pending is an exchange whose answer is due.
@@ -92,9 +94,22 @@
 	return k.number, p
 }
 
+// begun takes a session that has just told the news into use.
+func (k *link) begun(s *session) {
+	k.owner.mu.Lock()
+	defer k.owner.mu.Unlock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.told = k.owner.clock.Now()
+	k.loaded = k.told
+	k.fansCount = k.owner.fansCount
+	k.current.Store(s)
+}
+
 // check pings a link on which an answer is due, ends a silent one, and tells the
-// load once in an interval.
-func (k *link) check(now time.Time, interval time.Duration) {
+// news and the load when they are due, the load after loadDue. The caller holds
+// the linker's lock.
+func (k *link) check(now time.Time, loadDue time.Duration) {
 	s := k.current.Load()
 	if s == nil {
 		return
@@ -115,12 +130,12 @@
 		s.close()
 	}
 	switch {
-	case now.Sub(k.told) >= newsInterval:
-		k.told, k.loaded = now, now
-		s.put(k.owner.news(false))
-	case now.Sub(k.loaded) >= interval:
+	case now.Sub(k.told) >= newsInterval, k.fansCount != k.owner.fansCount:
+		k.told, k.loaded, k.fansCount = now, now, k.owner.fansCount
+		s.put(k.owner.news())
+	case now.Sub(k.loaded) >= loadDue:
 		k.loaded = now
-		s.put(&framer.Frame{Load: fromLoad(k.owner.handlers.Load())})
+		s.put(k.owner.load())
 	}
 }
 
@@ -142,12 +157,8 @@
 	}
 	s := newSession(k.owner.clock, stream, func() { socket.Close() })
 	defer k.down(s)
-	first := k.owner.news(false)
-	first.News.Peers = k.owner.peers()
-	s.put(first)
-	k.told = k.owner.clock.Now()
-	k.loaded = k.told
-	k.current.Store(s)
+	s.put(k.owner.currentNews())
+	k.begun(s)
 	k.owner.logger.Infof("Link to node %s stands.", k.member.Name)
 	go s.write()
 	s.read(func(f *framer.Frame) { k.take(s, f) })
@@ -237,13 +248,12 @@
 
 // take takes a frame of the other node.
 func (k *link) take(s *session, f *framer.Frame) {
-	k.owner.takeFacts(k.member, f)
-	switch {
-	case f.GetReply() != nil, f.GetRefusal() != nil, f.GetData() != nil, f.GetGrant() != 0:
-		k.settle(f)
-	case f.GetNews() != nil:
+	if f.GetNews() != nil {
 		k.owner.takeNews(s, f.GetNews(), false)
-	case f.GetAsk() != nil:
+	}
+	k.owner.takeFacts(s, k.member, f)
+	if f.GetReply() != nil || f.GetRefusal() != nil || f.GetData() != nil || f.GetGrant() != 0 {
+		k.settle(f)
 	}
 }
 
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -23,14 +23,16 @@
 const (
 	// checkInterval is how often links are looked after.
 	checkInterval = 250 * time.Millisecond
-	// newsInterval is how often nodes tell each other their loads when
-	// nothing else does.
-	newsInterval = 1500 * time.Millisecond
+	// loadInterval is how often nodes tell each other their loads when
+	// nothing else does, but not more often than calmPerLink for every link,
+	// which bounds what that costs in large deployments.
+	loadInterval = 1500 * time.Millisecond
+	calmPerLink  = 9 * time.Millisecond
 	// pressed is the offered work, in parts of what a backend server bears,
-	// from which on its load is told more often: each loadPerLink for every
-	// link, which bounds what that costs in large deployments.
-	pressed     = 0.7
-	loadPerLink = 3 * time.Millisecond
+	// from which on its load is told more often: each pressedPerLink for every
+	// link.
+	pressed        = 0.7
+	pressedPerLink = 3 * time.Millisecond
 	// pingAfter is how long a link on which an answer is due may carry nothing
 	// before it is pinged, and silentAfter before it counts as silent.
 	pingAfter   = 400 * time.Millisecond
@@ -86,6 +88,18 @@
 		gone map[string]struct{}
 		// changed counts the changes of the members.
 		changed uint64
+		// digest is that of the members at the time of digestOf.
+		digest, digestOf uint64
+		// ahead is a session with a node that acts on a newer state, if one is
+		// known.
+		ahead ahead
+		// peersWanted is when a node was last asked for the members it knows.
+		peersWanted time.Time
+		// fans are those that are told, fansCount counts their changes, and
+		// fansChanged is when they last did.
+		fans        map[string]Fans
+		fansCount   uint64
+		fansChanged time.Time
 	}
 
 	// Member is a node.
@@ -111,9 +125,10 @@
 	}
 }
 
-// Announce tells all nodes at once what the node tells about itself.
+// Announce tells all nodes at once the load and the revision of the state that
+// the node acts on.
 func (l *Linker) Announce() {
-	l.broadcast(l.news(false))
+	l.broadcast(l.load())
 }
 
 // Ask asks a node for tokens of a customer's rate, in thousandths.
@@ -147,7 +162,9 @@
 
 // Leave tells all nodes that this one leaves for good.
 func (l *Linker) Leave() {
-	l.broadcast(l.news(true))
+	f := l.currentNews()
+	f.News.Gone = true
+	l.broadcast(f)
 }
 
 // Meet learns of a member. One that is known under another address or
@@ -206,12 +223,8 @@
 			return nil
 		case <-ticker.C:
 		}
-		l.mu.Lock()
-		now, interval := l.clock.Now(), l.loadInterval()
-		for _, k := range l.links {
-			k.check(now, interval)
-		}
-		l.mu.Unlock()
+		l.catchUp()
+		l.check()
 	}
 }
 
@@ -242,24 +255,26 @@
 	return l.links[name]
 }
 
-// end makes sure that no link starts any more.
-func (l *Linker) end() {
+// check looks after the links.
+func (l *Linker) check() {
+	fans := l.handlers.Fans()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := l.clock.Now()
+	l.watchFans(now, fans)
+	due := l.dueInterval()
 	for _, k := range l.links {
-		k.stop()
+		k.check(now, due)
 	}
 }
 
-// loadInterval returns how often to tell the other nodes the backend server's
-// load: more often while it has more work than it bears, as they decide by that
-// what begins. The caller holds the lock.
-func (l *Linker) loadInterval() time.Duration {
-	load := l.handlers.Load()
-	if load.Closed || load.Offered < pressed*float64(load.Limit) {
-		return newsInterval
+// end makes sure that no link starts any more.
+func (l *Linker) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.links {
+		k.stop()
 	}
-	return min(newsInterval, max(checkInterval, loadPerLink*time.Duration(len(l.links))))
 }
 
 func unreachable(name string) *exchanger.Refusal {
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -27,7 +27,9 @@
 
 		mu    sync.Mutex
 		state director.State
-		loads map[string]guardian.Load
+		// states counts the states that others sent.
+		states int
+		loads  map[string]guardian.Load
 	}
 
 	// wire is a listener in front of a node that can fall silent.
@@ -72,6 +74,7 @@
 		TakeState: func(s director.State) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
+			n.states++
 			if s.Revision > n.state.Revision {
 				n.state = s
 			}
--- /dev/null
+++ b/internal/linker/news.go
@@ -0,0 +1,254 @@
+package linker
+
+import (
+	"encoding/json"
+	"math"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/flamingotack/flamingotack/internal/director"
+	"github.com/flamingotack/flamingotack/internal/framer"
+)
+
+const (
+	// newsInterval is how often nodes tell each other what seldom changes.
+	newsInterval = 15 * time.Second
+	// fansInterval is how often changes of the fans are told at most, and
+	// fansChange and leastFansChange what counts as a change, in parts of the
+	// calls of a run and in calls.
+	fansInterval    = 3 * time.Second
+	fansChange      = 0.1
+	leastFansChange = 0.05
+	// peersInterval is how often a node asks for the members that others know,
+	// at most.
+	peersInterval = time.Second
+)
+
+// ahead is what is known of a node that acts on a newer state.
+type ahead struct {
+	session  *session
+	revision uint64
+	// near says that the node is in the own failure domain.
+	near bool
+}
+
+// broadcast sends a frame to all nodes.
+func (l *Linker) broadcast(f *framer.Frame) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.links {
+		if s := k.current.Load(); s != nil {
+			s.put(f)
+		}
+	}
+}
+
+// catchUp asks a node that acts on a newer state for it. Most changes reach every
+// node by its own source of configurations first, so nodes don't send states
+// unasked.
+func (l *Linker) catchUp() {
+	own := l.handlers.State().Revision
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ahead.revision > own {
+		l.ahead.session.put(&framer.Frame{WantState: true})
+	}
+	l.ahead = ahead{}
+}
+
+// currentNews returns what the node tells about itself.
+func (l *Linker) currentNews() *framer.Frame {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.news()
+}
+
+// dueInterval returns how often to tell the load: more often while the backend
+// server has more work than it bears, as the other nodes decide by that what
+// begins. The caller holds the lock.
+func (l *Linker) dueInterval() time.Duration {
+	load := l.handlers.Load()
+	links := time.Duration(len(l.links))
+	if load.Closed || load.Offered < pressed*float64(load.Limit) {
+		return max(loadInterval, calmPerLink*links)
+	}
+	return max(checkInterval, pressedPerLink*links)
+}
+
+// load returns what the node tells of its load.
+func (l *Linker) load() *framer.Frame {
+	return &framer.Frame{Load: fromLoad(l.handlers.Load()), Revision: l.handlers.State().Revision}
+}
+
+// membersDigest returns a digest of the members, this node included, by which
+// nodes find out that they know different ones. The caller holds the lock.
+func (l *Linker) membersDigest() uint64 {
+	if l.digest != 0 && l.digestOf == l.changed {
+		return l.digest
+	}
+	l.digestOf = l.changed
+	l.digest = xxh3.HashString(l.self.Name + " " + l.self.Incarnation)
+	for _, k := range l.links {
+		l.digest ^= xxh3.HashString(k.member.Name + " " + k.member.Incarnation)
+	}
+	return l.digest
+}
+
+// news returns what the node tells about itself. The caller holds the lock.
+func (l *Linker) news() *framer.Frame {
+	n := &framer.News{
+		Name:        l.self.Name,
+		Incarnation: l.self.Incarnation,
+		Address:     l.self.Address,
+		Service:     l.self.Service,
+		Domain:      l.self.Domain,
+		Members:     l.membersDigest(),
+	}
+	for route, fans := range l.fans {
+		for called, calls := range fans {
+			n.Fans = append(n.Fans, &framer.Fan{Route: route, Called: called, Calls: float32(calls)})
+		}
+	}
+	f := l.load()
+	f.News = n
+	return f
+}
+
+// peers returns the members, for news. The caller holds the lock.
+func (l *Linker) peers() (list []*framer.Peer) {
+	for _, k := range l.links {
+		m := k.member
+		list = append(list, &framer.Peer{Name: m.Name, Incarnation: m.Incarnation, Address: m.Address, Service: m.Service, Domain: m.Domain})
+	}
+	return list
+}
+
+// takeFacts takes what any frame may bring: the load and the configuration of a
+// node, or that it wants something.
+func (l *Linker) takeFacts(s *session, m Member, f *framer.Frame) {
+	if f.GetLoad() != nil && m.Name != "" {
+		l.handlers.TakeLoad(m, toLoad(f.GetLoad()))
+	}
+	if f.GetRevision() > 0 {
+		l.takeRevision(s, m, f.GetRevision())
+	}
+	if f.GetWantState() {
+		l.tell(s, l.handlers.State())
+	}
+	if f.GetWantPeers() {
+		l.tellPeers(s)
+	}
+	if len(f.GetState()) > 0 {
+		l.takeState(m, f.GetState())
+	}
+}
+
+// takeNews takes what another node tells about itself. direct says that the
+// node set this session up.
+func (l *Linker) takeNews(s *session, n *framer.News, direct bool) {
+	m := toMember(n)
+	if n.GetGone() {
+		l.Forget(m)
+		return
+	}
+	l.Meet(m, direct)
+	for _, p := range n.GetPeers() {
+		l.Meet(Member{Name: p.GetName(), Incarnation: p.GetIncarnation(), Address: p.GetAddress(), Service: p.GetService(), Domain: p.GetDomain()}, false)
+	}
+	fans := map[string]Fans{}
+	for _, f := range n.GetFans() {
+		if fans[f.GetRoute()] == nil {
+			fans[f.GetRoute()] = Fans{}
+		}
+		fans[f.GetRoute()][f.GetCalled()] = float64(f.GetCalls())
+	}
+	l.handlers.TakeFans(m, fans)
+	l.compareMembers(s, n.GetMembers())
+}
+
+// compareMembers asks for the members that another node knows when it knows
+// others than this one.
+func (l *Linker) compareMembers(s *session, digest uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	if digest == l.membersDigest() || now.Sub(l.peersWanted) < peersInterval {
+		return
+	}
+	l.peersWanted = now
+	s.put(&framer.Frame{WantPeers: true})
+}
+
+// takeRevision notes that a node acts on a newer state, the nearest one first.
+func (l *Linker) takeRevision(s *session, m Member, revision uint64) {
+	if revision <= l.handlers.State().Revision {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	near := m.Domain == l.self.Domain
+	if revision > l.ahead.revision || revision == l.ahead.revision && near && !l.ahead.near {
+		l.ahead = ahead{session: s, revision: revision, near: near}
+	}
+}
+
+func (l *Linker) takeState(m Member, data []byte) {
+	var state director.State
+	if err := json.Unmarshal(data, &state); err != nil {
+		l.logger.Warnf("Node %s sent a state that can't be read: %v.", m.Name, err)
+		return
+	}
+	l.handlers.TakeState(state)
+}
+
+// tell sends a configuration to a node that wants it.
+func (l *Linker) tell(s *session, state director.State) {
+	data, err := json.Marshal(state)
+	if err != nil {
+		l.logger.Errorf("Can't encode revision %d: %v.", state.Revision, err)
+		return
+	}
+	s.put(&framer.Frame{State: data})
+}
+
+// tellPeers sends the members to a node that wants them.
+func (l *Linker) tellPeers(s *session) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f := l.news()
+	f.News.Peers = l.peers()
+	s.put(f)
+}
+
+// watchFans takes the present fans and finds out whether they are to be told. The
+// caller holds the lock.
+func (l *Linker) watchFans(now time.Time, fans map[string]Fans) {
+	if now.Sub(l.fansChanged) < fansInterval || !fansDiffer(l.fans, fans) {
+		return
+	}
+	l.fans = fans
+	l.fansChanged = now
+	l.fansCount++
+}
+
+// fansDiffer reports whether any fan of two differs by what counts.
+func fansDiffer(told, present map[string]Fans) bool {
+	return fansMissing(told, present) || fansMissing(present, told)
+}
+
+// fansMissing reports whether b lacks, or has otherwise, a fan of a.
+func fansMissing(a, b map[string]Fans) bool {
+	for route, fans := range a {
+		for called, calls := range fans {
+			if math.Abs(calls-b[route][called]) > max(leastFansChange, fansChange*calls) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func toMember(n *framer.News) Member {
+	return Member{Name: n.GetName(), Incarnation: n.GetIncarnation(), Address: n.GetAddress(), Service: n.GetService(), Domain: n.GetDomain()}
+}
--- /dev/null
+++ b/internal/linker/news_test.go
@@ -0,0 +1,145 @@
+package linker
+
+import (
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/flamingotack/flamingotack/internal/director"
+)
+
+const (
+	// largeNodes and controlBytes are the size and the rate in bytes a second
+	// that a node may use there to keep in touch with all others.
+	largeNodes   = 420
+	controlBytes = 8 << 10
+	meshNodes    = 8
+)
+
+// countingListener counts the bytes that come in and go out over its connections.
+type (
+	countingListener struct {
+		net.Listener
+		bytes *atomic.Int64
+	}
+
+	countingConn struct {
+		net.Conn
+		bytes *atomic.Int64
+	}
+)
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConn{c, l.bytes}, err
+}
+
+func (c countingConn) Read(p []byte) (n int, err error) {
+	n, err = c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (n int, err error) {
+	n, err = c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// startMesh starts nodes that all know each other.
+func startMesh(t *testing.T, bytes *atomic.Int64) (nodes []*node) {
+	t.Helper()
+	for i := range meshNodes {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		n := startNodeAt(t, fmt.Sprint("n", i), countingListener{l, bytes}, l.Addr().String())
+		for _, m := range nodes {
+			n.Meet(m.member, true)
+			m.Meet(n.member, true)
+		}
+		nodes = append(nodes, n)
+	}
+	await(t, func() bool {
+		for _, a := range nodes {
+			for _, b := range nodes {
+				if a != b && !a.Up(b.member.Name) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	return nodes
+}
+
+// TestNodesAtRestTellLittle is the load of a large deployment in which nothing
+// changes: what a pair of nodes sends must fit what a node may use for all.
+func TestNodesAtRestTellLittle(t *testing.T) {
+	const rounds = 3
+	var bytes atomic.Int64
+	startMesh(t, &bytes)
+	time.Sleep(2 * fansInterval)
+	before := bytes.Load()
+	time.Sleep(rounds * loadInterval)
+	// Each link sends one load a round; one more round may fall into the time.
+	links := meshNodes * (meshNodes - 1)
+	perLoad := float64(bytes.Load()-before) / float64((rounds+1)*links)
+	// A node sends and takes the loads of all others.
+	interval := max(loadInterval, calmPerLink*(largeNodes-1))
+	want := controlBytes * interval.Seconds() / (2 * (largeNodes - 1))
+	if perLoad > want {
+		t.Errorf("got %.1f bytes for each load, want at most %.1f", perLoad, want)
+	}
+}
+
+// TestStateComesFromOneNode lets a node that acts on an old state meet many that
+// act on a newer one.
+func TestStateComesFromOneNode(t *testing.T) {
+	var bytes atomic.Int64
+	nodes := startMesh(t, &bytes)
+	for _, n := range nodes {
+		n.mu.Lock()
+		n.state = director.State{Revision: 9, Config: &director.Config{Version: 4}}
+		n.mu.Unlock()
+	}
+	late := startNode(t, "late")
+	for _, n := range nodes {
+		late.Meet(n.member, true)
+		n.Meet(late.member, true)
+	}
+	await(t, func() bool { return late.getState().Revision == 9 && len(late.Members()) == meshNodes })
+	time.Sleep(2 * loadInterval)
+	late.mu.Lock()
+	defer late.mu.Unlock()
+	if late.states > 2 {
+		t.Errorf("got the state %d times, want it once, or twice if the first was slow", late.states)
+	}
+}
+
+// TestFansDiffer checks which changes of the fans are told.
+func TestFansDiffer(t *testing.T) {
+	told := map[string]Fans{"book": {"ledger": 2, "index": 0.1}}
+	tests := []struct {
+		name    string
+		present map[string]Fans
+		want    bool
+	}{
+		{"same", map[string]Fans{"book": {"ledger": 2, "index": 0.1}}, false},
+		{"a little more", map[string]Fans{"book": {"ledger": 2.1, "index": 0.12}}, false},
+		{"much more", map[string]Fans{"book": {"ledger": 2.5, "index": 0.1}}, true},
+		{"one less", map[string]Fans{"book": {"ledger": 2}}, true},
+		{"another route", map[string]Fans{"book": {"ledger": 2, "index": 0.1}, "view": {"ledger": 1}}, true},
+		{"nothing", nil, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := fansDiffer(told, tt.present); got != tt.want {
+				t.Errorf("got %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net"
 	"sync"
@@ -11,7 +10,6 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
-	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/framer"
 )
@@ -90,7 +88,15 @@
 // take takes a frame of the other node.
 func (r *runs) take(f *framer.Frame) {
 	l := r.taker.linker
-	l.takeFacts(r.member, f)
+	first := r.member.Name == ""
+	if f.GetNews() != nil {
+		r.member = toMember(f.GetNews())
+		l.takeNews(r.session, f.GetNews(), true)
+		if first {
+			r.session.put(l.currentNews())
+		}
+	}
+	l.takeFacts(r.session, r.member, f)
 	switch {
 	case f.GetRun() != nil, f.GetData() != nil:
 		r.begin(f)
@@ -102,17 +108,6 @@
 			granted = -1
 		}
 		r.session.put(&framer.Frame{Number: f.GetNumber(), Grant: granted})
-	case f.GetNews() != nil:
-		first := r.member.Name == ""
-		r.member = toMember(f.GetNews())
-		l.takeNews(r.session, f.GetNews(), true)
-		answer := l.news(false)
-		if first {
-			answer.News.Peers = l.peers()
-		}
-		if first || f.GetNews().GetRevision() > answer.GetNews().GetRevision() {
-			r.session.put(answer)
-		}
 	}
 }
 
@@ -166,98 +161,3 @@
 	frames[0].Load = load
 	r.session.put(frames...)
 }
-
-func (l *Linker) broadcast(f *framer.Frame) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, k := range l.links {
-		if s := k.current.Load(); s != nil {
-			s.put(f)
-		}
-	}
-}
-
-// news returns what the node tells about itself.
-func (l *Linker) news(gone bool) *framer.Frame {
-	n := &framer.News{
-		Name:        l.self.Name,
-		Incarnation: l.self.Incarnation,
-		Address:     l.self.Address,
-		Service:     l.self.Service,
-		Domain:      l.self.Domain,
-		Revision:    l.handlers.State().Revision,
-		Load:        fromLoad(l.handlers.Load()),
-		Gone:        gone,
-	}
-	for route, fans := range l.handlers.Fans() {
-		for called, calls := range fans {
-			n.Fans = append(n.Fans, &framer.Fan{Route: route, Called: called, Calls: float32(calls)})
-		}
-	}
-	return &framer.Frame{News: n}
-}
-
-func (l *Linker) peers() (list []*framer.Peer) {
-	for _, m := range l.Members() {
-		list = append(list, &framer.Peer{Name: m.Name, Incarnation: m.Incarnation, Address: m.Address, Service: m.Service, Domain: m.Domain})
-	}
-	return list
-}
-
-// takeFacts takes the load and the configuration that a frame brings.
-func (l *Linker) takeFacts(m Member, f *framer.Frame) {
-	if f.GetLoad() != nil && m.Name != "" {
-		l.handlers.TakeLoad(m, toLoad(f.GetLoad()))
-	}
-	if len(f.GetState()) == 0 {
-		return
-	}
-	var state director.State
-	if err := json.Unmarshal(f.GetState(), &state); err != nil {
-		l.logger.Warnf("Node %s sent a state that can't be read: %v.", m.Name, err)
-		return
-	}
-	l.handlers.TakeState(state)
-}
-
-// takeNews takes what another node tells about itself. direct says that the
-// node set this session up.
-func (l *Linker) takeNews(s *session, n *framer.News, direct bool) {
-	m := toMember(n)
-	if n.GetGone() {
-		l.Forget(m)
-		return
-	}
-	l.Meet(m, direct)
-	for _, p := range n.GetPeers() {
-		l.Meet(Member{Name: p.GetName(), Incarnation: p.GetIncarnation(), Address: p.GetAddress(), Service: p.GetService(), Domain: p.GetDomain()}, false)
-	}
-	if n.GetLoad() != nil {
-		l.handlers.TakeLoad(m, toLoad(n.GetLoad()))
-	}
-	fans := map[string]Fans{}
-	for _, f := range n.GetFans() {
-		if fans[f.GetRoute()] == nil {
-			fans[f.GetRoute()] = Fans{}
-		}
-		fans[f.GetRoute()][f.GetCalled()] = float64(f.GetCalls())
-	}
-	l.handlers.TakeFans(m, fans)
-	if state := l.handlers.State(); state.Revision > n.GetRevision() {
-		l.tell(s, state)
-	}
-}
-
-// tell sends a configuration to a node that has an older one.
-func (l *Linker) tell(s *session, state director.State) {
-	data, err := json.Marshal(state)
-	if err != nil {
-		l.logger.Errorf("Can't encode revision %d: %v.", state.Revision, err)
-		return
-	}
-	s.put(&framer.Frame{State: data})
-}
-
-func toMember(n *framer.News) Member {
-	return Member{Name: n.GetName(), Incarnation: n.GetIncarnation(), Address: n.GetAddress(), Service: n.GetService(), Domain: n.GetDomain()}
-}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -39,7 +39,7 @@
 	// reportLife is how long a guard's word on shedding holds.
 	reportLife = 300 * time.Millisecond
 	// loadLife is how long its word on its load holds.
-	loadLife = 2 * time.Second
+	loadLife = 5 * time.Second
 	// defaultSpill stands for a Spill that is not set.
 	defaultSpill = 0.8
 	// unknownLimit is what a node gets of which nothing is known yet.
