--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -16,6 +16,7 @@
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/logger"
+	"github.com/flamingotack/flamingotack/internal/meter"
 	"github.com/flamingotack/flamingotack/internal/retrier"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
@@ -48,6 +49,12 @@
 		Forward(ctx context.Context, c *exchanger.Call, r *director.Route) (*exchanger.Reply, *exchanger.Refusal)
 	}
 
+	// Meter counts requests.
+	Meter interface {
+		// Observe takes a request that has ended.
+		Observe(s meter.Sample)
+	}
+
 	// Rates charge the rates of customers.
 	Rates interface {
 		// Charge takes a token of the customer; false when it is over its
@@ -69,6 +76,8 @@
 		Forwarder Forwarder
 		// Logger takes the decisions.
 		Logger *logger.Part
+		// Meter counts the requests.
+		Meter Meter
 		// Rates charge the customers.
 		Rates Rates
 		// Leaving tells that the node is about to end and takes no request that
@@ -97,6 +106,7 @@
 func (a *Admitter) Handle(ctx context.Context, r *acceptor.Request) *acceptor.Response {
 	n, refusal := a.admit(r)
 	if refusal != nil {
+		a.Meter.Observe(meter.Sample{Root: true, Refusal: refusal, Elapsed: a.Clock.Now().Sub(r.Arrived)})
 		a.Logger.Decision(refused(logger.Decision{
 			Request: r.Header.Get(a.Dialect.Attempt),
 			Outcome: "Refuses at the door.",
@@ -106,6 +116,7 @@
 		return a.refuse(r.Header.Get(a.Dialect.Attempt), refusal)
 	}
 	reply, refusal := a.run(ctx, n)
+	a.observe(n, reply, refusal, a.Clock.Now().Sub(r.Arrived))
 	d := logger.Decision{
 		Request:  n.call.ID,
 		Route:    n.route.Name,
@@ -125,6 +136,23 @@
 	return &acceptor.Response{Status: reply.Status, Header: reply.Header, Body: reply.Body}
 }
 
+// observe counts a request that has ended.
+func (a *Admitter) observe(n *admission, reply *exchanger.Reply, refusal *exchanger.Refusal, elapsed time.Duration) {
+	s := meter.Sample{
+		Service:  n.call.Service,
+		Customer: n.call.Customer,
+		Priority: n.call.Priority,
+		Root:     !n.call.Inner,
+		Refusal:  refusal,
+		Elapsed:  elapsed,
+		Latency:  n.route.Objective,
+	}
+	if reply != nil {
+		s.Status = reply.Status
+	}
+	a.Meter.Observe(s)
+}
+
 // refused completes a decision by a refusal.
 func refused(d logger.Decision, r *exchanger.Refusal) logger.Decision {
 	d.Status, d.Reason, d.Ran, d.Detail = r.Status, string(r.Reason), string(r.Ran), r.Detail
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -13,6 +13,7 @@
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/logger"
+	"github.com/flamingotack/flamingotack/internal/meter"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
 
@@ -34,8 +35,12 @@
 		tokens, refunds int
 	}
 
+	// samples are the requests that were counted.
+	samples []meter.Sample
+
 	fixture struct {
 		*Admitter
+		samples   samples
 		forwarder *recordingForwarder
 		rates     *countingRates
 		leaving   bool
@@ -59,6 +64,8 @@
 	return r.tokens >= 0
 }
 
+func (s *samples) Observe(one meter.Sample) { *s = append(*s, one) }
+
 func (r *countingRates) Refund(*director.Customer) { r.refunds++ }
 
 func newFixture(t *testing.T) *fixture {
@@ -83,6 +90,7 @@
 		Forwarder: f.forwarder,
 		Leaving:   func() bool { return f.leaving },
 		Logger:    logger.New(t.Output(), "info", "n"),
+		Meter:     &f.samples,
 		Rates:     f.rates,
 		Service:   "board",
 		Table:     func() *director.Table { return f.table },
@@ -137,6 +145,9 @@
 			if got != tt.service {
 				t.Errorf("got a call of %q, want %q", got, tt.service)
 			}
+			if len(f.samples) != 1 || (f.samples[0].Refusal == nil) != (r.Status == 200) {
+				t.Errorf("got %d samples, %+v, want one that tells how the request ended", len(f.samples), f.samples)
+			}
 			if retry := r.Header.Get("Retry-After"); (r.Status == 429 || r.Status == 503) != (retry != "") {
 				t.Errorf("got Retry-After %q with status %d", retry, r.Status)
 			}
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -22,6 +22,7 @@
 	"github.com/flamingotack/flamingotack/internal/invoker"
 	"github.com/flamingotack/flamingotack/internal/linker"
 	"github.com/flamingotack/flamingotack/internal/logger"
+	"github.com/flamingotack/flamingotack/internal/meter"
 	"github.com/flamingotack/flamingotack/internal/publisher"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
@@ -90,6 +91,8 @@
 		Grace time.Duration
 		// Logger takes the log lines.
 		Logger *logger.Part
+		// Meter counts what the node does.
+		Meter *meter.Meter
 		// RepeatRatio and RepeatSlack bound the repeats of all nodes in 10 s:
 		// a part of the requests, and a number besides.
 		RepeatRatio, RepeatSlack float64
@@ -124,6 +127,11 @@
 		Domain:      s.Domain,
 	}
 	n.assemble()
+	if err := n.watch(); err != nil {
+		n.listener.Close()
+		n.peers.Close()
+		return nil, err
+	}
 	return n, nil
 }
 
@@ -224,6 +232,7 @@
 		Forwarder: n.forwarder,
 		Leaving:   n.leaving.Load,
 		Logger:    s.Logger.Part("admitter"),
+		Meter:     s.Meter,
 		Rates:     n.shares,
 		Service:   s.Service,
 		Table:     n.table.Load,
--- /dev/null
+++ b/internal/composer/meters.go
@@ -0,0 +1,23 @@
+package composer
+
+import "github.com/cockroachdb/errors"
+
+// watch makes the counts of the parts visible as metrics.
+func (n *Node) watch() (err error) {
+	defer func() { err = errors.Wrap(err, "set up metrics of the node") }()
+	for _, c := range []struct {
+		name, description string
+		value             func() int64
+	}{
+		{"flamingotack.revision", "Revision of the configuration in force.", func() int64 { return int64(n.table.Load().State.Revision) }},
+		{"flamingotack.members.changes", "Changes of the members that the node knows.", func() int64 { return int64(n.linker.Changed()) }},
+		{"flamingotack.links.lost", "Links to other nodes that broke or went silent.", n.linker.Lost.Load},
+		{"flamingotack.repeats", "Calls that were sent to another node after the first one.", n.forwarder.Repeats.Load},
+		{"flamingotack.runs", "Calls that were sent to the backend server.", n.guardian.Runs.Load},
+	} {
+		if err := n.settings.Meter.Watch(c.name, c.description, c.value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/averager"
@@ -45,6 +46,10 @@
 	Forwarder struct {
 		Settings
 
+		// Repeats counts the calls that were sent to another node after the
+		// first one.
+		Repeats atomic.Int64
+
 		mu        sync.Mutex
 		random    *rand.Rand
 		router    router.Router
--- a/internal/forwarder/trip.go
+++ b/internal/forwarder/trip.go
@@ -89,6 +89,9 @@
 	if !found {
 		return nil, noServer(t.call.Service)
 	}
+	if len(t.tried) > 0 {
+		t.forwarder.Repeats.Add(1)
+	}
 	t.tried = append(t.tried, m.Name)
 	started := t.forwarder.Clock.Now()
 	reply, refusal := t.forwarder.send(ctx, m, t.call)
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -7,6 +7,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/director"
@@ -21,6 +22,8 @@
 	// use and are never nil. Make it by New.
 	Guardian struct {
 		Settings
+		// Runs counts the calls that were sent to the backend server.
+		Runs atomic.Int64
 
 		gate   *gate
 		doubts chan struct{}
@@ -161,6 +164,7 @@
 	id := g.instance()
 	started := g.Clock.Now()
 	answer, err := g.Backend.Send(ctx, g.request(c, id))
+	g.Runs.Add(1)
 	g.Ran(c.Route, started, g.Clock.Now())
 	if err != nil {
 		refusal := g.failed(ctx, err)
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -168,6 +168,7 @@
 // down ends what waits on a session.
 func (k *link) down(s *session) {
 	k.current.CompareAndSwap(s, nil)
+	k.owner.Lost.Add(1)
 	unsent := s.close()
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/director"
@@ -74,6 +75,9 @@
 
 	// Linker keeps the links. Make it by New. It is safe for concurrent use.
 	Linker struct {
+		// Lost counts the links that broke or went silent.
+		Lost atomic.Int64
+
 		clock    timekeeper.Clock
 		handlers Handlers
 		logger   *logger.Part
--- a/internal/logger/bounded.go
+++ b/internal/logger/bounded.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,6 +23,9 @@
 // who reads them: lines that come too fast, or that nobody reads, are left out and
 // counted. Make it by NewBounded. It is safe for concurrent use.
 type Bounded struct {
+	// LeftOut counts the lines that were left out.
+	LeftOut atomic.Int64
+
 	out  io.Writer
 	rate int
 	now  func() time.Time
@@ -55,6 +59,7 @@
 	}
 	if b.lines >= most {
 		b.tooFast++
+		b.LeftOut.Add(1)
 		return false
 	}
 	b.lines++
@@ -83,6 +88,7 @@
 	defer b.mu.Unlock()
 	if len(b.buffer)+len(line) > maxBuffered {
 		b.unread++
+		b.LeftOut.Add(1)
 		return len(line), nil
 	}
 	b.buffer = append(b.buffer, line...)
