Add a client command that gathers the log lines of one request

'flamingotack trace ID [FILE...]' reads logs of nodes from files or the standard input and prints what they say about a request and its calls in order of time.

--- a/internal/cmd/client.go
+++ b/internal/cmd/client.go
@@ -72,6 +72,7 @@
 			newServerCmd(),
 			newShowCmd(),
 			newStatusCmd(),
+			newTraceCmd(),
 			newValidateCmd(),
 			newVersionCmd(),
 		},
--- /dev/null
+++ b/internal/cmd/tracecmd.go
@@ -0,0 +1,93 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/flamingotack/flamingotack/internal/collator"
+)
+
+const traceDescription = `Reads the logs of nodes, from files or from the standard input, and prints what
+they say about one request and the calls that it made, in order of time. It
+needs neither the platform's log nor a node.
+
+Examples:
+  flamingotack trace 851115d3855d4adf node-*.log
+  collect-logs | flamingotack trace 851115d3855d4adf`
+
+func newTraceCmd() *cli.Command {
+	return &cli.Command{
+		Name:        "trace",
+		Usage:       "gather the log lines of one request",
+		ArgsUsage:   "ID [FILE...]",
+		Description: traceDescription,
+		Action:      runTrace,
+	}
+}
+
+func runTrace(_ context.Context, c *cli.Command) (err error) {
+	id := c.Args().First()
+	if id == "" {
+		return &UsageError{Cause: errors.New("the id of a request is missing")}
+	}
+	gathered := collator.Collator{Request: id}
+	root := c.Root()
+	files := c.Args().Tail()
+	if len(files) == 0 {
+		err = gathered.Read(root.Reader)
+	}
+	for _, file := range files {
+		if err = readLog(&gathered, file); err != nil {
+			break
+		}
+	}
+	if err != nil {
+		return err
+	}
+	if gathered.Unreadable > 0 {
+		fmt.Fprintf(root.ErrWriter, "%d lines that name the request can't be read.\n", gathered.Unreadable)
+	}
+	lines := gathered.Lines()
+	if len(lines) == 0 {
+		return errors.Newf("no line is about request %q", id)
+	}
+	if c.Bool(jsonFlag) {
+		return json.NewEncoder(root.Writer).Encode(lines)
+	}
+	return printTrace(root.Writer, lines)
+}
+
+func readLog(gathered *collator.Collator, file string) (err error) {
+	defer func() { err = errors.Wrapf(err, "%s", file) }()
+	f, err := os.Open(file)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return gathered.Read(f)
+}
+
+// printTrace writes a line for each, with the time since the first one.
+func printTrace(w io.Writer, lines []collator.Line) error {
+	first := lines[0].Time
+	if _, err := fmt.Fprintf(w, "%s\n", first.Format("2006-01-02 15:04:05.000 MST")); err != nil {
+		return err
+	}
+	for _, l := range lines {
+		var fields strings.Builder
+		for _, name := range l.Names() {
+			fmt.Fprintf(&fields, "  %s=%v", name, l.Fields[name])
+		}
+		if _, err := fmt.Fprintf(w, "%+9.3fs  %s  %s  %s%s\n", l.Time.Sub(first).Seconds(), l.Node, l.Request, l.Message, fields.String()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/collator/collator_test.go
@@ -0,0 +1,40 @@
+package collator
+
+import (
+	"strings"
+	"testing"
+)
+
+// TestLinesOfOneRequest reads the logs of two nodes with lines of other requests,
+// of calls, out of order, cut and behind a collector's prefix.
+func TestLinesOfOneRequest(t *testing.T) {
+	logs := []string{
+		`{"time":"2026-05-07T22:30:57.103Z","level":"info","node":"n2","request":"85.5f","reason":"broken","elapsedms":215.8,"message":"guardian: Gets no answer."}
+{"time":"2026-05-07T22:30:57.000Z","level":"info","node":"n2","request":"851","message":"admitter: Answers."}
+{"time":"2026-05-07T22:30:57.000Z","level":"info","node":"n2","detail":"request 85","message":"other"}`,
+		`  0.5 n1 {"time":"2026-05-07T22:30:56.900Z","level":"info","node":"n1","request":"85","message":"forwarder: Tries another node."}
+{"time":"2026-05-07T22:30:57.200Z","level":"info","node":"n1","request":"85","status":502,"message":"admitter: Refuses."}
+{"time":"2026-05-07T22:30:57.200Z","level":"info","node":"n1","request":"85","mess`,
+	}
+	c := Collator{Request: "85"}
+	for _, log := range logs {
+		if err := c.Read(strings.NewReader(log)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var got []string
+	for _, l := range c.Lines() {
+		got = append(got, l.Node+" "+l.Request+" "+l.Message+" "+strings.Join(l.Names(), ","))
+	}
+	want := []string{
+		"n1 85 forwarder: Tries another node. ",
+		"n2 85.5f guardian: Gets no answer. elapsedms,reason",
+		"n1 85 admitter: Refuses. status",
+	}
+	if strings.Join(got, "\n") != strings.Join(want, "\n") {
+		t.Errorf("got\n%s\nwant\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
+	}
+	if c.Unreadable != 1 {
+		t.Errorf("got %d lines that can't be read, want 1", c.Unreadable)
+	}
+}
