Keep means by kind and keepalive in one place each

Gate, gatekeeper and forwarder each kept a mean of all times and one for each kind; averager.ByKind does now. The gatekeeper of flamingotackd so follows changes of rare classes by the clock too; the rest behaves as before.

--- a/internal/averager/averager_test.go
+++ b/internal/averager/averager_test.go
@@ -1,6 +1,7 @@
 package averager
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -55,3 +56,31 @@
 		t.Errorf("got %s after one value of three times the mean, want at most %s", got, want)
 	}
 }
+
+// TestMeansByKind checks that kinds have means of their own, within bounds.
+func TestMeansByKind(t *testing.T) {
+	var b ByKind
+	if b.All() != 0 || b.Of("view") != 0 {
+		t.Errorf("got %s and %s before the first time, want 0", b.All(), b.Of("view"))
+	}
+	now := time.Unix(1000, 0)
+	for i := range 2 * maxKinds {
+		b.Add(now, fmt.Sprint("kind", i), time.Second)
+	}
+	b.Add(now, "kind0", 3*time.Second)
+	tests := []struct {
+		name      string
+		got, want time.Duration
+	}{
+		{"one of the first kinds", b.Of("kind1"), time.Second},
+		{"a kind beyond the bound", b.Of(fmt.Sprint("kind", 2*maxKinds-1)), 0},
+	}
+	for _, tt := range tests {
+		if tt.got != tt.want {
+			t.Errorf("%s: got %s, want %s", tt.name, tt.got, tt.want)
+		}
+	}
+	if b.Of("kind0") <= time.Second || b.All() <= time.Second {
+		t.Errorf("got %s and %s after a longer time, want more than 1s", b.Of("kind0"), b.All())
+	}
+}
--- a/internal/cmd/tracecmd.go
+++ b/internal/cmd/tracecmd.go
@@ -52,7 +52,9 @@
 		return err
 	}
 	if gathered.Unreadable > 0 {
-		fmt.Fprintf(root.ErrWriter, "%d lines that name the request can't be read.\n", gathered.Unreadable)
+		if _, err := fmt.Fprintf(root.ErrWriter, "%d lines that name the request can't be read.\n", gathered.Unreadable); err != nil {
+			return err
+		}
 	}
 	lines := gathered.Lines()
 	if len(lines) == 0 {
@@ -70,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	defer f.Close()
+	defer func() { err = errors.CombineErrors(err, f.Close()) }()
 	return gathered.Read(f)
 }
 
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -6,7 +6,6 @@
 
 	"github.com/zeebo/xxh3"
 
-	"github.com/flamingotack/flamingotack/internal/averager"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/guardian"
 	"github.com/flamingotack/flamingotack/internal/retrier"
@@ -104,8 +103,8 @@
 	costs := map[string]float64{}
 	for b, n := range f.tree(c.Route, c.Service) {
 		held := f.held[b.service]
-		if known := f.routes[b.route]; known != nil {
-			held = known.Value()
+		if known := f.routes.Of(b.route); known > 0 {
+			held = known
 		}
 		if held <= 0 {
 			held = defaultHeld
@@ -119,12 +118,7 @@
 func (f *Forwarder) learn(route string, held time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := f.routes[route]
-	if known == nil {
-		known = &averager.Mean{}
-		f.routes[route] = known
-	}
-	known.Add(f.Clock.Now(), held)
+	f.routes.Add(f.Clock.Now(), route, held)
 }
 
 // measure works out the pressure on each service. The caller holds the lock.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -70,7 +70,7 @@
 		// held is the mean time of a call by service, as guards tell it, and
 		// routes that by route, as seen here.
 		held   map[string]time.Duration
-		routes map[string]*averager.Mean
+		routes averager.ByKind
 		// refused are the digests of refused requests and when that was.
 		refused map[uint64]time.Time
 	}
@@ -119,7 +119,6 @@
 		trees:     map[branch]map[branch]need{},
 		loads:     map[string]loadReport{},
 		held:      map[string]time.Duration{},
-		routes:    map[string]*averager.Mean{},
 		refused:   map[uint64]time.Time{},
 	}
 }
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/flamingotack/flamingotack/internal/averager"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/limiter"
 	"github.com/flamingotack/flamingotack/internal/scheduler"
@@ -28,10 +29,6 @@
 	queueTime = time.Second
 	// lookAgain is how long a paused server is left before it is asked again.
 	lookAgain = 5 * time.Millisecond
-	// maxClasses bounds the classes with a service time of their own.
-	maxClasses = 256
-	// serviceGain is the weight of a new service time in the running mean.
-	serviceGain = 0.05
 )
 
 type (
@@ -48,8 +45,8 @@
 		waiting   map[uint64]chan *exchanger.Refusal
 		number    uint64
 		looking   bool
-		services  map[string]time.Duration
-		mean      time.Duration
+		// services are the times that requests run, by class.
+		services averager.ByKind
 	}
 
 	// Config is what the manifest says about the backend server.
@@ -101,10 +98,9 @@
 // New returns a Gatekeeper of a server that has just started.
 func New(clock timekeeper.Clock, random *rand.Rand) *Gatekeeper {
 	g := &Gatekeeper{
-		clock:    clock,
-		random:   random,
-		waiting:  map[uint64]chan *exchanger.Refusal{},
-		services: map[string]time.Duration{},
+		clock:   clock,
+		random:  random,
+		waiting: map[uint64]chan *exchanger.Refusal{},
 	}
 	g.apply()
 	return g
@@ -158,7 +154,7 @@
 		Limit:   g.limiter.Limit(now),
 		Running: g.limiter.Running(),
 		Queued:  g.scheduler.Len(),
-		Service: g.mean,
+		Service: g.services.All(),
 		Shed:    g.scheduler.Shed(now),
 	}
 }
@@ -219,10 +215,10 @@
 
 // capacity returns the number of requests that may wait at a limit.
 func (g *Gatekeeper) capacity(limit int) int {
-	if g.mean == 0 {
+	if g.services.All() == 0 {
 		return max(leastQueue, limit)
 	}
-	served := float64(limit) * float64(queueTime) / float64(g.mean)
+	served := float64(limit) * float64(queueTime) / float64(g.services.All())
 	return int(min(mostQueue, max(leastQueue, served)))
 }
 
@@ -253,7 +249,7 @@
 	now := g.clock.Now()
 	held := now.Sub(p.started)
 	if o == limiter.OutcomeSuccess {
-		g.learn(p.class, held)
+		g.services.Add(now, p.class, held)
 	}
 	g.limiter.Release(now, limiter.Sample{
 		Class:   p.class,
@@ -264,13 +260,6 @@
 	g.dispatch(now)
 }
 
-func (g *Gatekeeper) learn(class string, held time.Duration) {
-	g.mean = blend(g.mean, held)
-	if _, known := g.services[class]; known || len(g.services) < maxClasses {
-		g.services[class] = blend(g.services[class], held)
-	}
-}
-
 // look goes on after a pause in which nothing ran.
 func (g *Gatekeeper) look() {
 	g.mu.Lock()
@@ -287,7 +276,7 @@
 	if !g.config.Fixed {
 		g.scheduler.Capacity = g.capacity(limit)
 	}
-	g.scheduler.Pace = scheduler.Pace{Limit: limit, Service: g.mean}
+	g.scheduler.Pace = scheduler.Pace{Limit: limit, Service: g.services.All()}
 	g.number++
 	decided = make(chan *exchanger.Refusal, 1)
 	g.waiting[g.number] = decided
@@ -297,7 +286,7 @@
 		Priority: t.Priority,
 		Depth:    t.Depth,
 		Deadline: t.Deadline,
-		Service:  g.services[t.Class],
+		Service:  g.services.Of(t.Class),
 	})
 	g.refuse(now, refused)
 	g.dispatch(now)
@@ -315,13 +304,6 @@
 	}
 }
 
-func blend(mean, value time.Duration) time.Duration {
-	if mean == 0 {
-		return value
-	}
-	return mean + time.Duration(serviceGain*float64(value-mean))
-}
-
 func waitedInVain(ctx context.Context) *exchanger.Refusal {
 	if ctx.Err() == context.DeadlineExceeded {
 		return exchanger.NotRun(http.StatusGatewayTimeout, exchanger.ReasonDeadline, "the deadline passed in the queue of the backend server")
--- a/internal/guardian/gate.go
+++ b/internal/guardian/gate.go
@@ -28,7 +28,6 @@
 	warmPart = 0.95
 	// defaultService stands for the mean service time until it is known.
 	defaultService = 50 * time.Millisecond
-	maxRoutes      = 1024
 )
 
 type (
@@ -45,10 +44,10 @@
 		number    uint64
 		waiting   map[uint64]chan *exchanger.Refusal
 		offered   meter
-		mean      averager.Mean
-		services  map[string]*averager.Mean
-		timer     *time.Timer
-		next      time.Time
+		// services are the times that calls take, by route.
+		services averager.ByKind
+		timer    *time.Timer
+		next     time.Time
 	}
 
 	// bounds is what the backend server bears.
@@ -72,9 +71,8 @@
 
 func newGate(clock timekeeper.Clock) *gate {
 	return &gate{
-		clock:    clock,
-		waiting:  map[uint64]chan *exchanger.Refusal{},
-		services: map[string]*averager.Mean{},
+		clock:   clock,
+		waiting: map[uint64]chan *exchanger.Refusal{},
 	}
 }
 
@@ -148,7 +146,7 @@
 	now := g.clock.Now()
 	g.running--
 	if good {
-		g.learn(now, p.route, now.Sub(p.started))
+		g.services.Add(now, p.route, now.Sub(p.started))
 	}
 	g.dispatch(now)
 }
@@ -203,27 +201,6 @@
 	return g.bounds.warmRate > 0 && now.Before(g.bounds.coldUntil)
 }
 
-func (g *gate) learn(now time.Time, route string, held time.Duration) {
-	g.mean.Add(now, held)
-	known := g.services[route]
-	if known == nil {
-		if len(g.services) >= maxRoutes {
-			return
-		}
-		known = &averager.Mean{}
-		g.services[route] = known
-	}
-	known.Add(now, held)
-}
-
-// routeService returns the mean time of a route's calls; 0 while it is not known.
-func (g *gate) routeService(route string) time.Duration {
-	if known := g.services[route]; known != nil {
-		return known.Value()
-	}
-	return 0
-}
-
 // limit returns the number of calls that may run at once.
 func (g *gate) limit() int {
 	return max(1, int(fullPart*float64(g.bounds.slots)))
@@ -239,7 +216,7 @@
 		return 0, decided
 	}
 	now := g.clock.Now()
-	service := g.routeService(c.Route)
+	service := g.services.Of(c.Route)
 	if !c.Moved {
 		g.offered.add(now, cmp.Or(service, g.service()).Seconds())
 	}
@@ -294,7 +271,7 @@
 }
 
 func (g *gate) service() time.Duration {
-	return cmp.Or(g.mean.Value(), defaultService)
+	return cmp.Or(g.services.All(), defaultService)
 }
 
 // wake dispatches again after a pause. The caller holds the lock.
--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -4,11 +4,11 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/flamingotack/flamingotack/internal/dialer"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 )
 
@@ -21,11 +21,6 @@
 	// connection is not used again, so that the server does not close it
 	// under a request.
 	idlePart = 0.7
-	// keepIdle, keepInterval and keepCount let the operating system find
-	// connections that went silent.
-	keepIdle     = time.Second
-	keepInterval = time.Second
-	keepCount    = 2
 )
 
 type (
@@ -142,11 +137,7 @@
 }
 
 func (v *Invoker) dial(ctx context.Context) (c *conn, err error) {
-	dialer := net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount},
-	}
-	socket, err := dialer.DialContext(ctx, "tcp4", v.Address)
+	socket, err := dialer.New(dialTimeout).DialContext(ctx, "tcp4", v.Address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -10,19 +9,12 @@
 
 	"storj.io/drpc/drpcconn"
 
+	"github.com/flamingotack/flamingotack/internal/dialer"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/framer"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
 
-const (
-	// keepIdle, keepInterval and keepCount let the operating system find
-	// connections that went silent.
-	keepIdle     = time.Second
-	keepInterval = time.Second
-	keepCount    = 2
-)
-
 type (
 	// link is the way to one other node.
 	link struct {
@@ -141,11 +133,7 @@
 
 // dial sets a session up and serves it until it ends.
 func (k *link) dial(ctx context.Context) (stood bool) {
-	dialer := net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount},
-	}
-	socket, err := dialer.DialContext(ctx, "tcp4", k.member.Address)
+	socket, err := dialer.New(dialTimeout).DialContext(ctx, "tcp4", k.member.Address)
 	if err != nil {
 		return false
 	}
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/flamingotack/flamingotack/internal/dialer"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/framer"
 )
@@ -60,7 +61,7 @@
 		return
 	}
 	if tcp, ok := socket.(*net.TCPConn); ok {
-		_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount})
+		_ = tcp.SetKeepAliveConfig(dialer.KeepAlive())
 	}
 	_ = drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()}).ServeOne(ctx, socket)
 }
