Hand the node's own fans over without a lock

Cause: found by reading the change. The linker told the forwarder of a change of the node's own fans under its own lock, and the forwarder asks the linker for members and links under its. Two calls that cross stop the node for good, while it says that it is ready.

Ruled out: other handlers called under the linker's lock; Load and State take no lock under which the linker is asked, and fans, loads and states of other nodes were handed over without it before.

Change: the change is noted under the lock and handed over after it.

Before: the new test, which asks for the members while fans are taken, waits in vain; after: it passes, with the race detector too.

--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -263,13 +263,16 @@
 	return l.links[name]
 }
 
-// check looks after the links.
+// check looks after the links and what is to be told over them. Who takes the fans
+// may hold a lock of its own under which it asks this Linker, so that they are
+// handed over without a lock.
 func (l *Linker) check() {
-	fans := l.handlers.Fans()
+	if fans := l.handlers.Fans(); l.watchFans(fans) {
+		l.handlers.TakeFans(l.self, fans)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
-	l.watchFans(now, fans)
 	due := l.dueInterval(now)
 	for _, k := range l.links {
 		k.check(now, due)
--- a/internal/linker/news.go
+++ b/internal/linker/news.go
@@ -218,16 +218,18 @@
 	s.put(f)
 }
 
-// watchFans takes the present fans and finds out whether they are to be told. The
-// caller holds the lock.
-func (l *Linker) watchFans(now time.Time, fans map[string]Fans) {
+// watchFans takes the present fans and reports whether they are to be told.
+func (l *Linker) watchFans(fans map[string]Fans) (changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
 	if now.Sub(l.fansChanged) < fansInterval || !fansDiffer(l.fans, fans) {
-		return
+		return false
 	}
 	l.fans = fans
 	l.fansChanged = now
 	l.fansCount++
-	l.handlers.TakeFans(l.self, fans)
+	return true
 }
 
 // fansDiffer reports whether any fan of two differs by what counts.
--- a/internal/linker/news_test.go
+++ b/internal/linker/news_test.go
@@ -1,14 +1,18 @@
 package linker
 
 import (
+	"context"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/guardian"
+	"github.com/flamingotack/flamingotack/internal/logger"
+	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
 
 const (
@@ -149,6 +153,36 @@
 	}
 }
 
+// TestHandlersMayAskTheLinker lets who takes the node's own fans ask for the
+// members meanwhile, as the forwarder does under its lock.
+func TestHandlersMayAskTheLinker(t *testing.T) {
+	asked := make(chan int, 1)
+	var n *Linker
+	n = New(Member{Name: "a", Incarnation: "a-1", Address: "127.0.0.1:1"}, timekeeper.System{}, logger.New(t.Output(), "info", "a"), Handlers{
+		Fans:  func() map[string]Fans { return map[string]Fans{"r": {Runs: 50}} },
+		Load:  func() guardian.Load { return guardian.Load{} },
+		State: func() director.State { return director.State{} },
+		TakeFans: func(Member, map[string]Fans) {
+			members := make(chan int, 1)
+			go func() { members <- len(n.Members()) }()
+			select {
+			case count := <-members:
+				asked <- count
+			case <-time.After(time.Second):
+				asked <- -1
+			}
+		},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { n.Run(ctx) })
+	if got := <-asked; got != 0 {
+		t.Errorf("got %d members while the fans were taken, want 0 at once", got)
+	}
+	cancel()
+	running.Wait()
+}
+
 // TestFansDiffer checks which changes of the fans are told.
 func TestFansDiffer(t *testing.T) {
 	fans := func(runs, ledger, index float64) map[string]Fans {
