Say in one place what a request that leaves the queue is told

Cause: gate and gatekeeper each made the same refusal of what the scheduler refuses. Texts, status and reason stay. Result: tests of scheduler, gatekeeper and guardian pass unchanged.

--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -295,10 +295,7 @@
 
 func (g *Gatekeeper) refuse(now time.Time, refused []scheduler.Refused) {
 	for _, r := range refused {
-		refusal := exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonOverload, "more important requests fill the queue of the backend server")
-		if r.Cause == scheduler.CauseLate {
-			refusal.Detail = "the backend server can't end the request before its deadline"
-		}
+		refusal := r.Refusal()
 		refusal.RetryAfter = g.scheduler.Advice(now, g.random.Float64())
 		g.decide(r.Item.Number, refusal)
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -5,6 +5,7 @@
 package scheduler
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
@@ -81,6 +82,15 @@
 	}
 )
 
+// Refusal returns what the caller of the request is told.
+func (r Refused) Refusal() *exchanger.Refusal {
+	detail := "more important requests fill the queue of the backend server"
+	if r.Cause == CauseLate {
+		detail = "the backend server can't end the request before its deadline"
+	}
+	return exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonOverload, "%s", detail)
+}
+
 // Cancel takes the request out of the queue and reports whether it was there.
 func (s *Scheduler[O]) Cancel(number uint64) bool {
 	i := slices.IndexFunc(s.items, func(i Item) bool { return i.Number == number })
