Keep one kind of fading sum

Cause: the guard's meter, the regulator's budgets and its shares of routes each faded sums by the same formula. Change: averager.Sum does; a zero time before the first amount needs no care, as nothing fades then. The memories stay 0.4, 1 and 4 s. The gate also takes the scheduler's refusal. Result: tests of guardian and regulator pass unchanged; a test for the sum.

--- a/internal/averager/averager.go
+++ b/internal/averager/averager.go
@@ -1,5 +1,5 @@
-// Package averager keeps running means of times. It knows no clock and does no
-// input or output; a Mean is not safe for concurrent use.
+// Package averager keeps running means of times and sums that fade. It knows no
+// clock and does no input or output; its types are not safe for concurrent use.
 package averager
 
 import (
--- a/internal/averager/averager_test.go
+++ b/internal/averager/averager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 )
@@ -84,3 +85,25 @@
 		t.Errorf("got %s and %s after a longer time, want more than 1s", b.Of("kind0"), b.All())
 	}
 }
+
+// TestSumFades checks that amounts fade by their age, and that late ones count.
+func TestSumFades(t *testing.T) {
+	const memory = time.Second
+	now := time.Unix(1000, 0)
+	var s Sum
+	s.Add(now, memory, 4)
+	s.Add(now.Add(-time.Second), memory, 2)
+	tests := []struct {
+		after time.Duration
+		want  float64
+	}{
+		{0, 6},
+		{time.Second, 6 / math.E},
+		{2 * time.Second, 6 / math.E / math.E},
+	}
+	for _, tt := range tests {
+		if got := s.At(now.Add(tt.after), memory); math.Abs(got-tt.want) > 1e-9 {
+			t.Errorf("after %s: got %.3f, want %.3f", tt.after, got, tt.want)
+		}
+	}
+}
--- a/internal/guardian/gate.go
+++ b/internal/guardian/gate.go
@@ -26,6 +26,8 @@
 	// warmPart is the part of the rate that a cold server bears which is
 	// used; the rest is for health checks.
 	warmPart = 0.95
+	// offeredTime is the time over which the offered work is averaged.
+	offeredTime = 400 * time.Millisecond
 	// defaultService stands for the mean service time until it is known.
 	defaultService = 50 * time.Millisecond
 )
@@ -43,7 +45,8 @@
 		running   int
 		number    uint64
 		waiting   map[uint64]chan *exchanger.Refusal
-		offered   meter
+		// offered is the work of the last offeredTime, in seconds of slots.
+		offered averager.Sum
 		// services are the times that calls take, by route.
 		services averager.ByKind
 		timer    *time.Timer
@@ -118,7 +121,7 @@
 		l.Bears = min(l.Bears, g.bounds.warmRate*warmPart*l.Service.Seconds())
 		l.Limit = max(1, int(l.Bears))
 	}
-	l.Offered = g.offered.at(now)
+	l.Offered = g.offered.At(now, offeredTime) / offeredTime.Seconds()
 }
 
 // open lets calls through within the bounds.
@@ -218,7 +221,7 @@
 	now := g.clock.Now()
 	service := g.services.Of(c.Route)
 	if !c.Moved {
-		g.offered.add(now, cmp.Or(service, g.service()).Seconds())
+		g.offered.Add(now, offeredTime, cmp.Or(service, g.service()).Seconds())
 	}
 	g.number++
 	g.waiting[g.number] = decided
@@ -261,11 +264,7 @@
 
 func (g *gate) refuse(refused []scheduler.Refused) {
 	for _, r := range refused {
-		refusal := exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonOverload, "more important requests fill the queue of the backend server")
-		if r.Cause == scheduler.CauseLate {
-			refusal.Detail = "the backend server can't end the request before its deadline"
-		}
-		g.waiting[r.Item.Number] <- refusal
+		g.waiting[r.Item.Number] <- r.Refusal()
 		delete(g.waiting, r.Item.Number)
 	}
 }
--- a/internal/regulator/regulator.go
+++ b/internal/regulator/regulator.go
@@ -10,6 +10,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/flamingotack/flamingotack/internal/averager"
 )
 
 const (
@@ -78,8 +80,7 @@
 
 	// share is what of the demand was admitted.
 	share struct {
-		asked, admitted float64
-		faded           time.Time
+		asked, admitted averager.Sum
 	}
 
 	// valve is the budget for one service.
@@ -96,9 +97,8 @@
 		paid     time.Time
 		reported time.Time
 		refused  time.Time
-
-		admitted float64
-		faded    time.Time
+		// admitted is the work that was admitted here.
+		admitted averager.Sum
 	}
 )
 
@@ -106,8 +106,8 @@
 // which it occupies slots of each service, in seconds.
 func (r *Regulator) Admit(now time.Time, route string, rank int, costs map[string]float64) bool {
 	rank = max(0, min(rank, Ranks-1))
-	s := r.share(now, route)
-	if s.behind(&r.all) {
+	s := r.share(route)
+	if s.behind(now, &r.all) {
 		rank = 0
 	}
 	admitted := true
@@ -119,15 +119,14 @@
 			admitted = false
 		}
 	}
-	s.count(admitted)
-	r.all.count(admitted)
+	s.count(now, admitted)
+	r.all.count(now, admitted)
 	if !admitted {
 		return false
 	}
 	for service, cost := range costs {
 		v := r.valves[service]
-		v.fade(now)
-		v.admitted += cost
+		v.admitted.Add(now, admittedTime, cost)
 		if v.short {
 			v.saved -= cost
 		}
@@ -140,7 +139,6 @@
 func (r *Regulator) Report(now time.Time, service string, offered, bears float64) {
 	v := r.valve(now, service)
 	v.pay(now)
-	v.fade(now)
 	v.step(now)
 	elapsed := now.Sub(v.reported)
 	v.reported = now
@@ -150,7 +148,7 @@
 	least := leastPart / float64(max(1, r.Nodes))
 	switch {
 	case !v.short && pressure > target+onset:
-		v.begin(now, max(least, v.admitted/admittedTime.Seconds()*target/offered), pressure)
+		v.begin(now, max(least, v.admitted.At(now, admittedTime)/admittedTime.Seconds()*target/offered), pressure)
 	case v.short && now.Sub(v.refused) > idleTime && pressure < target:
 		v.short = false
 	case v.short:
@@ -216,17 +214,15 @@
 	}
 }
 
-func (r *Regulator) share(now time.Time, route string) *share {
+func (r *Regulator) share(route string) *share {
 	if r.routes == nil {
 		r.routes = map[string]*share{}
 	}
 	s := r.routes[route]
 	if s == nil {
-		s = &share{faded: now}
+		s = &share{}
 		r.routes[route] = s
 	}
-	s.fade(now)
-	r.all.fade(now)
 	return s
 }
 
@@ -236,33 +232,23 @@
 		if r.valves == nil {
 			r.valves = map[string]*valve{}
 		}
-		v = &valve{paid: now, faded: now, reported: now}
+		v = &valve{paid: now, reported: now}
 		r.valves[service] = v
 	}
 	return v
 }
 
 // behind reports whether the route gets much less than all routes together.
-func (s *share) behind(all *share) bool {
-	return s.asked >= 1 && s.admitted*all.asked < fairPart*all.admitted*s.asked
+func (s *share) behind(now time.Time, all *share) bool {
+	asked, admitted := s.asked.At(now, fairTime), s.admitted.At(now, fairTime)
+	return asked >= 1 && admitted*all.asked.At(now, fairTime) < fairPart*all.admitted.At(now, fairTime)*asked
 }
 
-func (s *share) count(admitted bool) {
-	s.asked++
+func (s *share) count(now time.Time, admitted bool) {
+	s.asked.Add(now, fairTime, 1)
 	if admitted {
-		s.admitted++
-	}
-}
-
-func (s *share) fade(now time.Time) {
-	elapsed := now.Sub(s.faded)
-	if elapsed <= 0 {
-		return
+		s.admitted.Add(now, fairTime, 1)
 	}
-	s.faded = now
-	factor := math.Exp(-elapsed.Seconds() / fairTime.Seconds())
-	s.asked *= factor
-	s.admitted *= factor
 }
 
 // budget returns the budget in seconds of slots a second.
@@ -270,15 +256,6 @@
 	return v.part * v.bears
 }
 
-func (v *valve) fade(now time.Time) {
-	elapsed := now.Sub(v.faded)
-	if elapsed <= 0 {
-		return
-	}
-	v.faded = now
-	v.admitted *= math.Exp(-elapsed.Seconds() / admittedTime.Seconds())
-}
-
 // pay saves up the budget up to now.
 func (v *valve) pay(now time.Time) {
 	elapsed := now.Sub(v.paid)
