Solve for the fans when they are asked for

Cause: the least squares ran where a window closed, which is the path of a request that happens to come then, and once for each window. Result: tests pass unchanged.

--- a/internal/admitter/fans.go
+++ b/internal/admitter/fans.go
@@ -35,7 +35,8 @@
 		start     fanCounts
 		opening   int
 		estimator estimator.Estimator
-		fans      map[string]estimator.Fans
+		// fans are those that the estimator gave; nil when it has learnt since.
+		fans map[string]estimator.Fans
 	}
 
 	// fanCounts are the runs and calls of one window, by route.
@@ -67,6 +68,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.advance()
+	if c.fans == nil {
+		c.fans = c.estimator.Fans()
+	}
 	return c.fans
 }
 
@@ -118,7 +122,7 @@
 		w = c.start
 	}
 	c.estimator.Add(w.runs, w.calls)
-	c.fans = c.estimator.Fans()
+	c.fans = nil
 }
 
 // number returns the number of the window of a time.
