--- a/internal/exchanger/call.go
+++ b/internal/exchanger/call.go
@@ -35,7 +35,8 @@
 		Priority Priority
 		// Deadline is when the answer is of no more use.
 		Deadline time.Time
-		// Objective is when the answer is late; not after Deadline.
+		// Objective is when the answer is late; not after Deadline. Only the
+		// node where the chain begins knows it.
 		Objective time.Time
 		// Inner tells that a run on a backend server waits for this call.
 		Inner bool
