Keep room in the log for changes of state beside a flood of requests

Lines of refused requests could use the whole rate, and lines about the node itself three quarters of it like those of any request.

Each rank of lines - answered, refused, changes of state, warnings - now has a quarter of the rate that no lower rank may use.

--- a/internal/logger/bounded.go
+++ b/internal/logger/bounded.go
@@ -14,11 +14,25 @@
 	flushInterval = 250 * time.Millisecond
 	// maxBuffered bounds the lines that wait for a reader, in bytes.
 	maxBuffered = 256 << 10
-	// reservedPart is the part of the lines in a second that only warnings and
-	// errors may use.
-	reservedPart = 4
+	rankCount   = 4
 )
 
+// The ranks of lines, the least important first.
+const (
+	// RankAnswer is that of requests that were answered.
+	RankAnswer Rank = iota
+	// RankRefusal is that of requests that were refused or failed.
+	RankRefusal
+	// RankEvent is that of what changes the state of the node.
+	RankEvent
+	// RankWarning is that of failures.
+	RankWarning
+)
+
+// Rank is the importance of a line. Each rank has a part of the lines of a second
+// that no lower one may use.
+type Rank int
+
 // Bounded is a writer that bounds the lines of each second and never waits for
 // who reads them: lines that come too fast, or that nobody reads, are left out and
 // counted. Make it by NewBounded. It is safe for concurrent use.
@@ -43,9 +57,9 @@
 	return &Bounded{out: out, rate: rate, now: time.Now}
 }
 
-// Admit reports whether there is room for one more line now, and counts it.
-// important lines may use the whole rate, others three quarters of it.
-func (b *Bounded) Admit(important bool) bool {
+// Admit reports whether there is room for one more line of a rank now, and counts
+// it.
+func (b *Bounded) Admit(r Rank) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
@@ -53,11 +67,7 @@
 		b.second = now
 		b.lines = 0
 	}
-	most := b.rate
-	if !important {
-		most -= b.rate / reservedPart
-	}
-	if b.lines >= most {
+	if b.lines >= b.rate*(int(r)+1)/rankCount {
 		b.tooFast++
 		b.LeftOut.Add(1)
 		return false
--- a/internal/logger/bounded_test.go
+++ b/internal/logger/bounded_test.go
@@ -61,6 +61,33 @@
 	}
 }
 
+// TestChangesOfStateAreLoggedInAFloodOfRefusals guards against a log in which
+// nobody can see when a node took a configuration, as the lines of refused
+// requests had used up the rate.
+func TestChangesOfStateAreLoggedInAFloodOfRefusals(t *testing.T) {
+	var out bytes.Buffer
+	b := NewBounded(&out, 40)
+	l := New(b, "info", "n")
+	started := time.Now()
+	b.now = func() time.Time { return started }
+	for range 1000 {
+		l.Decision(Decision{Outcome: "Answers."})
+		l.Decision(Decision{Outcome: "Refuses.", Reason: "overload"})
+	}
+	for range 10 {
+		l.Infof("Revision is in force.")
+	}
+	if err := b.flush(); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := strings.Count(out.String(), "Revision is in force."), 10; got != want {
+		t.Errorf("got %d lines of changes, want %d", got, want)
+	}
+	if got, want := strings.Count(out.String(), "Refuses."), 10; got < want {
+		t.Errorf("got %d lines of refusals, want at least %d", got, want)
+	}
+}
+
 func TestDecisionLine(t *testing.T) {
 	var out bytes.Buffer
 	New(&out, "info", "n").Part("admitter").Decision(Decision{
--- a/internal/logger/decision.go
+++ b/internal/logger/decision.go
@@ -31,7 +31,11 @@
 
 // Decision logs what became of a request, as a line with a field for each input.
 func (p *Part) Decision(d Decision) {
-	if !p.admit(d.Reason != "") {
+	rank := RankAnswer
+	if d.Reason != "" {
+		rank = RankRefusal
+	}
+	if !p.admit(rank) {
 		return
 	}
 	e := p.base.Info()
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -30,21 +30,21 @@
 
 // Debugf logs a detail.
 func (p *Part) Debugf(format string, args ...any) {
-	if p.base.Level <= log.DebugLevel && p.admit(false) {
+	if p.base.Level <= log.DebugLevel && p.admit(RankAnswer) {
 		p.base.Debug().Msgf(p.prefix+format, args...)
 	}
 }
 
 // Errorf logs a failure that needs an operator.
 func (p *Part) Errorf(format string, args ...any) {
-	if p.admit(true) {
+	if p.admit(RankWarning) {
 		p.base.Error().Msgf(p.prefix+format, args...)
 	}
 }
 
 // Infof logs a normal event.
 func (p *Part) Infof(format string, args ...any) {
-	if p.admit(false) {
+	if p.admit(RankEvent) {
 		p.base.Info().Msgf(p.prefix+format, args...)
 	}
 }
@@ -56,11 +56,11 @@
 
 // Warnf logs a failure that the node survives by itself.
 func (p *Part) Warnf(format string, args ...any) {
-	if p.admit(true) {
+	if p.admit(RankWarning) {
 		p.base.Warn().Msgf(p.prefix+format, args...)
 	}
 }
 
-func (p *Part) admit(important bool) bool {
-	return p.bounded == nil || p.bounded.Admit(important)
+func (p *Part) admit(r Rank) bool {
+	return p.bounded == nil || p.bounded.Admit(r)
 }
