Read a connection on however many of its requests have no answer

Whoever does not read does not see the caller leave.

Cause: the reader waited for a slot in the queue of answers, and for the lock that the writer held. Now the 64th request is the last of its connection, which is read on and drops what follows (the caller is told by the answer that ends the connection that it was not read), and answers are written without the lock. An answer that ends its connection has nothing behind it any more, so the two functions that took back what was behind it are gone.

Evidence: three tests that fail before: the caller's leave behind 64 requests was not seen in 20 s, 86 of 128 requests were begun on one connection, and a second request was not read in 5 s while the first answer was being read.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -16,7 +16,7 @@
 
 const (
 	// maxPipelined bounds the requests of one connection that wait for their
-	// answers.
+	// answers. The connection ends with the answer to the last of them.
 	maxPipelined = 64
 	// lingerTime is how long a closed connection is still read, so that
 	// unread bytes don't reset it before the caller has its answer.
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -210,3 +211,82 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestLeavingIsSeenBehindManyRequests guards against a connection that is not read
+// while many of its requests have no answer, so that nobody sees its caller leave.
+func TestLeavingIsSeenBehindManyRequests(t *testing.T) {
+	var started, ended atomic.Int64
+	_, dial := testServer(t, func(ctx context.Context, _ *Request) *Response {
+		started.Add(1)
+		<-ctx.Done()
+		ended.Add(1)
+		return &Response{Status: http.StatusServiceUnavailable}
+	})
+	c := dial()
+	for i := range 2 * maxPipelined {
+		fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: a\r\n\r\n", i)
+	}
+	wait(t, func() bool { return started.Load() >= maxPipelined })
+	c.Close()
+	wait(t, func() bool { return ended.Load() == started.Load() })
+}
+
+// TestManyRequestsEndTheirConnection sends more requests than one connection may
+// have without an answer: those behind the last answer were not begun, and the
+// answer says that it is the last.
+func TestManyRequestsEndTheirConnection(t *testing.T) {
+	var begun atomic.Int64
+	all := make(chan struct{})
+	_, dial := testServer(t, func(context.Context, *Request) *Response {
+		if begun.Add(1) == maxPipelined {
+			close(all)
+		}
+		<-all
+		return &Response{Status: http.StatusOK}
+	})
+	c := dial()
+	for i := range 2 * maxPipelined {
+		fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: a\r\n\r\n", i)
+	}
+	r := bufio.NewReader(c)
+	for i := range maxPipelined {
+		response, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, want := response.Close, i == maxPipelined-1; got != want {
+			t.Errorf("got last %t for answer %d, want %t", got, i, want)
+		}
+	}
+	if _, err := r.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("got error %v behind the last answer, want EOF", err)
+	}
+	if got := begun.Load(); got != maxPipelined {
+		t.Errorf("got %d requests begun, want %d", got, maxPipelined)
+	}
+}
+
+// TestCallersThatReadSlowlyAreRead guards against a connection that is not read
+// while its caller takes its time to read an answer.
+func TestCallersThatReadSlowlyAreRead(t *testing.T) {
+	second := make(chan struct{})
+	_, dial := testServer(t, func(_ context.Context, r *Request) *Response {
+		if r.URL.Path == "/2" {
+			close(second)
+			return &Response{Status: http.StatusOK}
+		}
+		return &Response{Status: http.StatusOK, Body: make([]byte, 64<<20)}
+	})
+	c := dial()
+	fmt.Fprint(c, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	r := bufio.NewReader(c)
+	if _, err := r.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(c, "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	select {
+	case <-second:
+	case <-time.After(5 * time.Second):
+		t.Error("got no second request while the first answer is being read, want it")
+	}
+}
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -25,51 +25,37 @@
 	conn struct {
 		server *Server
 		socket net.Conn
-		input  *boundedReader
+		input  *input
 		reader *bufio.Reader
-		slots  chan struct{}
 
 		mu sync.Mutex
 		// queue holds the exchanges without an answer on the wire, in order.
 		queue []*exchange
-		// closing is set once the last answer has been written.
+		// writing says that answers are being written.
+		writing bool
+		// closing is set once the last answer is known. Nothing is behind it in
+		// the queue.
 		closing bool
 	}
 
 	// exchange is a request and, once it is known, its answer.
 	exchange struct {
-		request  *http.Request
+		// request is nil when it could not be read.
+		request  *Request
 		response *Response
 		// last says that the connection ends with this exchange.
 		last bool
 	}
-
-	// boundedReader fails once more was read than is left.
-	boundedReader struct {
-		reader io.Reader
-		left   int64
-	}
 )
 
 func newConn(s *Server, socket net.Conn) *conn {
-	input := &boundedReader{reader: socket}
+	input := newInput(socket)
 	return &conn{
 		server: s,
 		socket: socket,
 		input:  input,
 		reader: bufio.NewReaderSize(input, readBytes),
-		slots:  make(chan struct{}, maxPipelined),
-	}
-}
-
-// Read reads at most what is left.
-func (r *boundedReader) Read(p []byte) (n int, err error) {
-	if r.left <= 0 {
-		return 0, errHeadTooLarge
 	}
-	n, err = r.reader.Read(p)
-	r.left -= int64(n)
-	return n, err
 }
 
 // serve reads requests until the caller leaves or the last one came.
@@ -79,21 +65,19 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for c.await() {
-		limits := c.server.Limits()
-		r, err := c.read(limits)
+		r, err := c.read(c.server.Limits())
 		if err != nil {
 			if !c.reject(err) {
 				return
 			}
 			break
 		}
-		last := r.Close || !r.ProtoAtLeast(1, 1)
-		e := &exchange{request: r.Request, last: last}
+		e := &exchange{request: r, last: r.Close || !r.ProtoAtLeast(1, 1)}
 		if !c.push(e) {
 			break
 		}
-		go c.run(ctx, e, r)
-		if last {
+		go func() { c.finish(e, c.server.Handle(ctx, e.request)) }()
+		if e.last {
 			break
 		}
 	}
@@ -193,65 +177,49 @@
 	return true
 }
 
-// push puts an exchange at the end of the queue; false once the last answer has
-// been written, so that no request runs whose answer could not follow.
+// push puts an exchange at the end of the queue; false once the last answer is
+// known, so that no request runs whose answer could not follow. A connection with
+// too many requests ends with the last one of them: it is read on, so that its
+// caller is seen to leave, and what comes behind is not begun.
 func (c *conn) push(e *exchange) bool {
-	c.slots <- struct{}{}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
-		<-c.slots
 		return false
 	}
 	c.server.busy.Add(1)
 	c.queue = append(c.queue, e)
+	e.last = e.last || len(c.queue) >= maxPipelined
 	return true
 }
 
-func (c *conn) run(ctx context.Context, e *exchange, r *Request) {
-	c.finish(e, c.server.Handle(ctx, r))
-}
-
 func (c *conn) running() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return len(c.queue) > 0
 }
 
-// finish writes the answer, and those that waited behind it, once all before it
-// have been written.
+// finish takes the answer of an exchange and writes all answers whose turn it is,
+// unless somebody else does already.
 func (c *conn) finish(e *exchange, response *Response) {
 	draining := c.server.Draining()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e.response = response
-	var out []byte
-	done, last := 0, false
-	for i, next := range c.queue {
-		if next.response == nil || last || c.closing {
-			break
-		}
-		if draining && i == len(c.queue)-1 {
-			// Nothing runs behind it, and nothing will.
-			next.last = true
-		}
-		last = next.last
-		out = appendResponse(out, next)
-		done++
-	}
-	if done == 0 {
-		c.dropIfClosing(e)
+	if c.writing {
 		return
 	}
-	c.release(done)
-	c.closing = c.closing || last
-	_ = c.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := c.socket.Write(out); err != nil {
-		c.socket.Close()
-		return
+	c.writing = true
+	defer func() { c.writing = false }()
+	for {
+		out, count := c.answers(draining)
+		if count == 0 {
+			break
+		}
+		c.write(out)
+		c.release(count)
 	}
 	if c.closing {
-		c.dropAnswered()
 		c.endWrite()
 		return
 	}
@@ -260,34 +228,31 @@
 	}
 }
 
-// dropAnswered takes back the exchanges behind the last answer that have
-// ended. The caller holds the lock.
-func (c *conn) dropAnswered() {
-	waiting := c.queue[:0]
-	for _, e := range c.queue {
+// answers returns the answers whose turn it is, as they go over the wire, and their
+// number. The caller holds the lock.
+func (c *conn) answers(draining bool) (out []byte, count int) {
+	for i, e := range c.queue {
 		if e.response == nil {
-			waiting = append(waiting, e)
-			continue
+			break
 		}
-		c.server.busy.Add(-1)
-		<-c.slots
+		// While the server drains, a connection ends when nothing runs on it.
+		e.last = e.last || draining && i == len(c.queue)-1
+		c.closing = c.closing || e.last
+		out = appendResponse(out, e)
+		count++
 	}
-	c.queue = waiting
+	return out, count
 }
 
-// dropIfClosing takes back an exchange behind the last answer. The caller holds
-// the lock.
-func (c *conn) dropIfClosing(e *exchange) {
-	if !c.closing {
-		return
-	}
-	for i, q := range c.queue {
-		if q == e {
-			c.queue = append(c.queue[:i], c.queue[i+1:]...)
-			c.server.busy.Add(-1)
-			<-c.slots
-			return
-		}
+// write writes without the lock, which the caller holds: a caller that takes its
+// time to read its answers must still be seen to leave. A connection that can't be
+// written to is closed.
+func (c *conn) write(out []byte) {
+	c.mu.Unlock()
+	defer c.mu.Lock()
+	_ = c.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := c.socket.Write(out); err != nil {
+		c.socket.Close()
 	}
 }
 
@@ -295,9 +260,6 @@
 func (c *conn) release(count int) {
 	c.queue = append(c.queue[:0], c.queue[count:]...)
 	c.server.busy.Add(-int64(count))
-	for range count {
-		<-c.slots
-	}
 }
 
 // endWrite tells the caller that no answer follows, and bounds the time for
@@ -311,14 +273,15 @@
 
 // watch drops what still comes, until the caller leaves.
 func (c *conn) watch() {
+	c.mu.Lock()
+	if !c.closing && len(c.queue) > 0 {
+		_ = c.socket.SetReadDeadline(time.Time{})
+	}
+	c.mu.Unlock()
 	buffer := make([]byte, readBytes)
 	for {
-		c.mu.Lock()
-		if !c.closing && len(c.queue) > 0 {
-			_ = c.socket.SetReadDeadline(time.Time{})
-		}
-		c.mu.Unlock()
-		if _, err := c.socket.Read(buffer); err != nil {
+		c.input.left = readBytes
+		if _, err := c.input.Read(buffer); err != nil {
 			return
 		}
 	}
