Begin no request whose caller has left before it was read

A node that is short of processor time, or that has just started, reads a request from the kernel's buffer whose caller has closed the connection behind it. The request was sent on, and only then the end of the connection was read and the call canceled, wherever it was by then.

Cause: requests were begun one by one while more, and the end, lay in the buffer. Now they are begun when a read finds nothing more; one read that would block tells so without a further system call. The metric flamingotack_unbegun_total counts those that were not begun, which tells this case from calls that are canceled while they run.

Evidence: the test fails before, with 1 of 1 and 3 of 3 requests begun whose caller had left before the node accepted the connection.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -69,6 +69,9 @@
 		Handle func(ctx context.Context, r *Request) *Response
 		// Limits returns what bounds the next request.
 		Limits func() Limits
+		// Unbegun counts the requests that were read and not begun, as their
+		// callers had left.
+		Unbegun atomic.Int64
 
 		busy   atomic.Int64
 		mu     sync.Mutex
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -212,6 +213,76 @@
 	}
 }
 
+// endedListener tells when the server has closed the connections that it accepts.
+type endedListener struct {
+	net.Listener
+	ended chan struct{}
+}
+
+type endedConn struct {
+	*net.TCPConn
+	once  sync.Once
+	ended chan struct{}
+}
+
+func (l *endedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &endedConn{TCPConn: c.(*net.TCPConn), ended: l.ended}, nil
+}
+
+func (c *endedConn) Close() error {
+	c.once.Do(func() { close(c.ended) })
+	return c.TCPConn.Close()
+}
+
+// TestRequestsOfCallersThatHaveLeftAreNotBegun guards against work for callers that
+// had left before the node came to read their requests.
+func TestRequestsOfCallersThatHaveLeftAreNotBegun(t *testing.T) {
+	for _, count := range []int{1, 3} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			c, err := net.Dial("tcp4", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i := range count {
+				fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: a\r\n\r\n", i)
+			}
+			c.Close()
+			var begun atomic.Int64
+			s := &Server{
+				Draining: func() bool { return false },
+				Handle: func(context.Context, *Request) *Response {
+					begun.Add(1)
+					return &Response{Status: http.StatusOK}
+				},
+				Limits: func() Limits {
+					return Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second}
+				},
+			}
+			ended := make(chan struct{})
+			go s.Serve(&endedListener{Listener: l, ended: ended})
+			<-ended
+			l.Close()
+			for s.Busy() > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			if got := begun.Load(); got != 0 {
+				t.Errorf("got %d requests begun, want none", got)
+			}
+			if got, want := s.Unbegun.Load(), int64(count); got != want {
+				t.Errorf("got %d requests counted as not begun, want %d", got, want)
+			}
+		})
+	}
+}
+
 // TestLeavingIsSeenBehindManyRequests guards against a connection that is not read
 // while many of its requests have no answer, so that nobody sees its caller leave.
 func TestLeavingIsSeenBehindManyRequests(t *testing.T) {
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -43,6 +44,8 @@
 		// request is nil when it could not be read.
 		request  *Request
 		response *Response
+		// begun says that the request runs or has run.
+		begun bool
 		// last says that the connection ends with this exchange.
 		last bool
 	}
@@ -62,8 +65,10 @@
 func (c *conn) serve() {
 	defer c.server.drop(c)
 	defer c.socket.Close()
+	defer c.abandon()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	c.input.blocked = func() { c.begin(ctx) }
 	for c.await() {
 		r, err := c.read(c.server.Limits())
 		if err != nil {
@@ -73,17 +78,38 @@
 			break
 		}
 		e := &exchange{request: r, last: r.Close || !r.ProtoAtLeast(1, 1)}
-		if !c.push(e) {
-			break
-		}
-		go func() { c.finish(e, c.server.Handle(ctx, e.request)) }()
-		if e.last {
+		if !c.push(e) || e.last {
 			break
 		}
 	}
 	c.watch()
 }
 
+// abandon takes back the requests that were not begun, as their caller has left.
+func (c *conn) abandon() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := len(c.queue)
+	c.queue = slices.DeleteFunc(c.queue, func(e *exchange) bool { return !e.begun && e.response == nil })
+	count -= len(c.queue)
+	c.server.busy.Add(-int64(count))
+	c.server.Unbegun.Add(int64(count))
+}
+
+// begin runs the requests that were read. It is called when there is nothing more
+// to read, not even the end of the connection, so that no request of a caller that
+// has left is begun.
+func (c *conn) begin(ctx context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range c.queue {
+		if !e.begun && e.response == nil {
+			e.begun = true
+			go func() { c.finish(e, c.server.Handle(ctx, e.request)) }()
+		}
+	}
+}
+
 // await waits for the next request and reports whether there is one.
 func (c *conn) await() bool {
 	for {
--- a/internal/composer/meters.go
+++ b/internal/composer/meters.go
@@ -12,6 +12,7 @@
 		{"flamingotack.revision", "Revision of the configuration in force.", func() int64 { return int64(n.table.Load().State.Revision) }},
 		{"flamingotack.members.changes", "Changes of the members that the node knows.", func() int64 { return int64(n.linker.Changed()) }},
 		{"flamingotack.links.lost", "Links to other nodes that broke or went silent.", n.linker.Lost.Load},
+		{"flamingotack.unbegun", "Requests that were not begun, as their callers had left.", n.acceptor.Unbegun.Load},
 		{"flamingotack.repeats", "Calls that were sent to another node after the first one.", n.forwarder.Repeats.Load},
 		{"flamingotack.runs", "Calls that were sent to the backend server.", n.guardian.Runs.Load},
 	} {
