Send no call on that is canceled already

A call that was let through at the moment of its cancel was sent all the same: of two ready events one was picked at random, and no step between the ingress and the backend server's connection looked at the cancel again.

Now the forwarder picks no node for a canceled call, the gate gives back the place of one that it has just let through, and the invoker writes nothing. The gate of the path of flamingotackd had the same fault and the same mend.

Evidence: three tests fail before: 3 nodes of 3 picked, calls of a canceled context sent to the server and passed by the gatekeeper. Their refusals also said 'unreachable' where the cause was the cancel.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -248,3 +248,18 @@
 		})
 	}
 }
+
+// TestCanceledCallsAreNotSent guards against work for callers that have left: no
+// node gets a call that is canceled already.
+func TestCanceledCallsAreNotSent(t *testing.T) {
+	f, l := newFixture(t, 3)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, refusal := f.Forward(ctx, call(true), &director.Route{Attempts: 2})
+	if refusal == nil || refusal.Reason != exchanger.ReasonCanceled || refusal.Ran != exchanger.RanNo {
+		t.Errorf("got refusal %v, want one that says canceled and not run", refusal)
+	}
+	if len(l.sent) > 0 {
+		t.Errorf("got the call sent to %v, want none", l.sent)
+	}
+}
--- a/internal/forwarder/trip.go
+++ b/internal/forwarder/trip.go
@@ -85,6 +85,9 @@
 
 // attempt sends the call to one node.
 func (t *trip) attempt(ctx context.Context) (*exchanger.Reply, *exchanger.Refusal) {
+	if ctx.Err() != nil {
+		return nil, exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonCanceled, "the caller went away")
+	}
 	m, found := t.forwarder.pick(t.call, t.tried)
 	if !found {
 		return nil, noServer(t.call.Service)
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -124,6 +124,9 @@
 	number, decided := g.offer(t)
 	select {
 	case refusal = <-decided:
+		if refusal == nil && ctx.Err() != nil {
+			refusal = g.giveBack(ctx)
+		}
 	case <-ctx.Done():
 		refusal = g.abandon(ctx, number, decided)
 	}
@@ -185,10 +188,23 @@
 	if refusal := <-decided; refusal != nil {
 		return refusal
 	}
+	g.release()
+	return waitedInVain(ctx)
+}
+
+// giveBack takes a request back that was let through and does not run.
+func (g *Gatekeeper) giveBack(ctx context.Context) *exchanger.Refusal {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.release()
+	return waitedInVain(ctx)
+}
+
+// release frees the place of a request that did not run. The caller holds the lock.
+func (g *Gatekeeper) release() {
 	now := g.clock.Now()
 	g.limiter.Release(now, limiter.Sample{Outcome: limiter.OutcomeIgnored})
 	g.dispatch(now)
-	return waitedInVain(ctx)
 }
 
 // apply sets the policies that the config asks for. What runs and waits stays.
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -91,6 +91,22 @@
 	}
 }
 
+// TestCanceledRequestsDoNotPass guards against work for callers that have left: a
+// request that is canceled at the moment it is let through.
+func TestCanceledRequestsDoNotPass(t *testing.T) {
+	g := newGate(Config{Fixed: true, Slots: 8})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 100 {
+		if _, got := g.Enter(ctx, ticket(0)); got == nil || got.Ran != exchanger.RanNo || got.Reason != exchanger.ReasonCanceled {
+			t.Fatalf("got refusal %v, want canceled and not run", got)
+		}
+	}
+	if got := g.Load().Running; got != 0 {
+		t.Errorf("got %d that run, want none", got)
+	}
+}
+
 func TestLessImportantGivesWay(t *testing.T) {
 	g := newGate(Config{Slots: 1})
 	p, _ := g.Enter(context.Background(), ticket(0))
--- a/internal/guardian/gate.go
+++ b/internal/guardian/gate.go
@@ -91,18 +91,21 @@
 	clear(g.waiting)
 }
 
-// enter waits until the call may run.
+// enter waits until the call may run. One that is canceled does not, also when it
+// is let through at the same moment.
 func (g *gate) enter(ctx context.Context, c *exchanger.Call) (*pass, *exchanger.Refusal) {
 	number, decided := g.offer(c)
+	var refusal *exchanger.Refusal
 	select {
-	case refusal := <-decided:
-		if refusal != nil {
-			return nil, refusal
+	case refusal = <-decided:
+		if refusal == nil && ctx.Err() != nil {
+			refusal = g.giveBack(ctx)
 		}
 	case <-ctx.Done():
-		if refusal := g.abandon(ctx, number, decided); refusal != nil {
-			return nil, refusal
-		}
+		refusal = g.abandon(ctx, number, decided)
+	}
+	if refusal != nil {
+		return nil, refusal
 	}
 	return &pass{gate: g, route: c.Route, started: g.clock.Now()}, nil
 }
@@ -158,17 +161,31 @@
 // at the same moment.
 func (g *gate) abandon(ctx context.Context, number uint64, decided chan *exchanger.Refusal) *exchanger.Refusal {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if _, waits := g.waiting[number]; !waits {
-		if refusal := <-decided; refusal != nil {
-			return refusal
-		}
-		g.running--
-		g.dispatch(g.clock.Now())
-	} else {
+	_, waits := g.waiting[number]
+	if waits {
 		g.scheduler.Cancel(number)
 		delete(g.waiting, number)
 	}
+	g.mu.Unlock()
+	if waits {
+		return canceled(ctx)
+	}
+	if refusal := <-decided; refusal != nil {
+		return refusal
+	}
+	return g.giveBack(ctx)
+}
+
+// giveBack takes a call back that was let through and does not run.
+func (g *gate) giveBack(ctx context.Context) *exchanger.Refusal {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running--
+	g.dispatch(g.clock.Now())
+	return canceled(ctx)
+}
+
+func canceled(ctx context.Context) *exchanger.Refusal {
 	if ctx.Err() == context.DeadlineExceeded {
 		return exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonDeadline, "the deadline passed in the queue of the backend server")
 	}
--- a/internal/guardian/guardian_test.go
+++ b/internal/guardian/guardian_test.go
@@ -296,3 +296,24 @@
 		})
 	}
 }
+
+// TestCanceledCallsDoNotReachTheServer guards against work for callers that have
+// left: a call that is canceled at the moment it is let through.
+func TestCanceledCallsDoNotReachTheServer(t *testing.T) {
+	f := newFixture(t, sealed)
+	f.ready(8, 0)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for i := range 100 {
+		_, refusal := f.HandleCall(ctx, f.call(fmt.Sprint(i)))
+		if refusal == nil || refusal.Reason != exchanger.ReasonCanceled || refusal.Ran != exchanger.RanNo {
+			t.Fatalf("got refusal %v, want one that says canceled and not run", refusal)
+		}
+	}
+	if got := f.Runs.Load(); got != 0 {
+		t.Errorf("got %d calls sent to the server, want none", got)
+	}
+	if got := f.Load().Running; got != 0 {
+		t.Errorf("got %d calls that run, want none", got)
+	}
+}
--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -41,9 +41,10 @@
 		Cause error
 	}
 
-	// DialError says that no connection came about, so that nothing was sent.
+	// DialError says that nothing was sent: no connection came about, or the
+	// context ended before.
 	DialError struct {
-		// Cause is the error of the dial.
+		// Cause is the error of the dial or the context.
 		Cause error
 	}
 
@@ -109,6 +110,10 @@
 	if err != nil {
 		return nil, &DialError{Cause: err}
 	}
+	if ctx.Err() != nil {
+		v.release(c)
+		return nil, &DialError{Cause: ctx.Err()}
+	}
 	stop := context.AfterFunc(ctx, func() { c.socket.Close() })
 	a, err = c.exchange(r, v.Dialect.Attempt)
 	if !stop() {
