Take a call back from the queue of a link when it is canceled

A call that waits behind others on a slow link was sent after its cancel, with the cancel behind it, so the other node could begin it. It is now withdrawn from the queue, and its refusal says truthfully that it has not run, also when its deadline passed there.

--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -215,6 +215,9 @@
 		return r.reply, r.refusal
 	default:
 	}
+	if p.session.withdraw(number) {
+		return nil, unsent(ctx, k.member.Name)
+	}
 	p.session.put(&framer.Frame{Number: number, Cancel: true})
 	if ctx.Err() != nil {
 		return nil, exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonCanceled, "the request was canceled while it ran")
@@ -222,6 +225,14 @@
 	return nil, exchanger.Unknown(http.StatusGatewayTimeout, exchanger.ReasonDeadline, "no answer from node %s in time", k.member.Name)
 }
 
+// unsent returns the refusal of a call that a link could not send in time.
+func unsent(ctx context.Context, name string) *exchanger.Refusal {
+	if ctx.Err() != nil {
+		return exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonCanceled, "the caller went away")
+	}
+	return exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonDeadline, "the deadline passed before the call was sent to node %s", name)
+}
+
 // start keeps the link until ctx ends or stop. It returns at once.
 func (k *link) start(ctx context.Context) {
 	ctx, k.cancel = context.WithCancel(ctx)
--- a/internal/linker/session.go
+++ b/internal/linker/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -90,6 +91,20 @@
 	}
 }
 
+// withdraw takes a call that was not sent yet off the queue, and reports whether it
+// did.
+func (s *session) withdraw(number uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	starts := func(f *framer.Frame) bool { return f.GetNumber() == number && f.GetRun() != nil }
+	if !slices.ContainsFunc(s.queue, starts) {
+		return false
+	}
+	// A batch that is being sent may share the array of the queue.
+	s.queue = slices.DeleteFunc(slices.Clone(s.queue), func(f *framer.Frame) bool { return f.GetNumber() == number })
+	return true
+}
+
 // read hands each frame to take, until the session ends.
 func (s *session) read(take func(*framer.Frame)) {
 	for {
