--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/acceptor"
@@ -37,8 +36,7 @@
 	Admitter struct {
 		Settings
 
-		mu    sync.Mutex
-		parts map[string][]float64
+		dealer *dealer
 	}
 
 	// Forwarder runs calls on nodes.
@@ -99,7 +97,7 @@
 
 // New returns an Admitter.
 func New(s Settings) *Admitter {
-	return &Admitter{Settings: s, parts: map[string][]float64{}}
+	return &Admitter{Settings: s, dealer: newDealer(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))}
 }
 
 // Handle answers a request.
@@ -218,7 +216,7 @@
 func (a *Admitter) call(r *acceptor.Request, id string, route *director.Route, customer *director.Customer) *exchanger.Call {
 	c := &exchanger.Call{
 		ID:         id,
-		Service:    a.part(route),
+		Service:    a.dealer.deal(route),
 		Route:      route.Name,
 		Method:     r.Method,
 		Target:     target(r),
@@ -267,31 +265,6 @@
 	return refusal
 }
 
-// part returns the service that gets the request, so that each part of a route
-// gets its share of any few requests in a row.
-func (a *Admitter) part(route *director.Route) string {
-	if len(route.Parts) == 1 {
-		return route.Parts[0].Service
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	credits := a.parts[route.Name]
-	if len(credits) != len(route.Parts) {
-		credits = make([]float64, len(route.Parts))
-		a.parts[route.Name] = credits
-	}
-	total, best := 0.0, 0
-	for i, p := range route.Parts {
-		total += p.Weight
-		credits[i] += p.Weight
-		if credits[i] > credits[best] {
-			best = i
-		}
-	}
-	credits[best] -= total
-	return route.Parts[best].Service
-}
-
 func (a *Admitter) refuse(id string, r *exchanger.Refusal) *acceptor.Response {
 	h := http.Header{"Content-Type": {"text/plain"}}
 	if id != "" {
