--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -40,8 +40,9 @@
 	// other.
 	Directory interface {
 		// Follow hands each new state to take, until ctx ends. Any number of
-		// states may be missed; revisions only grow.
-		Follow(ctx context.Context, take func(director.State)) error
+		// states may be missed; revisions only grow. nodes returns the number of
+		// nodes that follow.
+		Follow(ctx context.Context, nodes func() int, take func(director.State)) error
 		// Join makes the node known and returns the members.
 		Join(ctx context.Context, self linker.Member) ([]linker.Member, error)
 		// Leave says that the node leaves for good.
@@ -174,7 +175,7 @@
 	}
 	actor(n.guardian.Run)
 	actor(n.linker.Run)
-	actor(func(c context.Context) error { return n.settings.Directory.Follow(c, n.take) })
+	actor(func(c context.Context) error { return n.settings.Directory.Follow(c, n.forwarder.Nodes, n.take) })
 	actor(n.join)
 	actor(n.announcements)
 	g.Add(func() error { return n.acceptor.Serve(n.listener) }, func(error) {
