Let resting connections of callers make room for new ones

Cause: a node ran out of descriptors. A caller's connection was kept until it had rested for the operators' 15 s. Then no connection was accepted, and nothing told so, as that error was swallowed. Requests lay unread for seconds; when there was room again they were read and sent on behind callers that had given up.

Class: a resource that is bounded by the platform and given out without a bound.

Why this works: callers have a part of the sockets that the settings allow, and when it is used up the eighth of the connections that has rested longest is ended. A request that crosses that end was not read, and its caller is free to send it again. Connections with requests stay. Where no bound is known, a failed accept makes room as well, is logged and counted.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -11,7 +11,10 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/flamingotack/flamingotack/internal/logger"
 )
 
 const (
@@ -25,6 +28,10 @@
 	writeTimeout = 10 * time.Second
 	// bodyTimeout is how long a request's body may take.
 	bodyTimeout = 10 * time.Second
+	// acceptPause is how long after a failure the next connection is accepted, and
+	// fullPause the same when there is no descriptor for it.
+	acceptPause = time.Millisecond
+	fullPause   = 20 * time.Millisecond
 )
 
 type (
@@ -62,6 +69,9 @@
 	// Server serves connections. Its exported fields are set before use and
 	// are never nil. It is safe for concurrent use.
 	Server struct {
+		// Connections bounds the connections; 0 sets no bound. Those that have
+		// rested longest make room for new ones.
+		Connections int
 		// Draining tells that callers should not use their connections
 		// again.
 		Draining func() bool
@@ -69,6 +79,11 @@
 		Handle func(ctx context.Context, r *Request) *Response
 		// Limits returns what bounds the next request.
 		Limits func() Limits
+		// Logger takes what connections lack.
+		Logger *logger.Part
+		// Failed counts the connections that could not be accepted, and Dropped
+		// those that were closed to make room.
+		Failed, Dropped atomic.Int64
 		// Unbegun counts the requests that were read and not begun, as their
 		// callers had left.
 		Unbegun atomic.Int64
@@ -77,6 +92,8 @@
 		mu     sync.Mutex
 		closed bool
 		conns  map[*conn]struct{}
+		// ending are the connections that were told to make room.
+		ending map[*conn]struct{}
 	}
 )
 
@@ -93,6 +110,16 @@
 	for c := range s.conns {
 		c.socket.Close()
 	}
+	for c := range s.ending {
+		c.socket.Close()
+	}
+}
+
+// Open returns the number of connections that callers may use.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
 }
 
 // Serve accepts connections until the listener is closed.
@@ -103,8 +130,7 @@
 			return nil
 		}
 		if err != nil {
-			// Out of descriptors, or the caller has left already.
-			time.Sleep(time.Millisecond)
+			s.fail(err)
 			continue
 		}
 		c := newConn(s, socket)
@@ -113,13 +139,29 @@
 			return nil
 		}
 		go c.serve()
+		if s.Connections > 0 && s.Open() >= s.Connections {
+			s.makeRoom()
+		}
+	}
+}
+
+// fail notes that a connection could not be accepted. Without descriptors there
+// must be room before the next one; a caller that has left already needs none.
+func (s *Server) fail(err error) {
+	s.Failed.Add(1)
+	s.Logger.Warnf("Can't accept a connection beside %d others: %v.", s.Open(), err)
+	full := errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+	if full && s.makeRoom() == 0 {
+		time.Sleep(fullPause)
 	}
+	time.Sleep(acceptPause)
 }
 
 func (s *Server) drop(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	delete(s.ending, c)
 }
 
 func (s *Server) keep(c *conn) bool {
@@ -129,7 +171,7 @@
 		return false
 	}
 	if s.conns == nil {
-		s.conns = map[*conn]struct{}{}
+		s.conns, s.ending = map[*conn]struct{}{}, map[*conn]struct{}{}
 	}
 	s.conns[c] = struct{}{}
 	return true
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/flamingotack/flamingotack/internal/logger"
 )
 
 // testServer serves handle on a free port and returns a connection to it.
@@ -25,6 +27,7 @@
 	s = &Server{
 		Draining: func() bool { return false },
 		Handle:   handle,
+		Logger:   logger.New(io.Discard, "info", "n"),
 		Limits: func() Limits {
 			return Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second}
 		},
@@ -258,6 +261,7 @@
 			var begun atomic.Int64
 			s := &Server{
 				Draining: func() bool { return false },
+				Logger:   logger.New(io.Discard, "info", "n"),
 				Handle: func(context.Context, *Request) *Response {
 					begun.Add(1)
 					return &Response{Status: http.StatusOK}
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -37,6 +37,10 @@
 		// closing is set once the last answer is known. Nothing is behind it in
 		// the queue.
 		closing bool
+		// linger is how long the connection is still read after its end.
+		linger time.Duration
+		// rested is when the queue was last empty.
+		rested time.Time
 	}
 
 	// exchange is a request and, once it is known, its answer.
@@ -58,6 +62,8 @@
 		socket: socket,
 		input:  input,
 		reader: bufio.NewReaderSize(input, readBytes),
+		linger: lingerTime,
+		rested: time.Now(),
 	}
 }
 
@@ -110,6 +116,26 @@
 	}
 }
 
+// end ends a connection that rests, and reports whether it did: a request that came
+// in the meantime is answered first.
+func (c *conn) end() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing || len(c.queue) > 0 {
+		return false
+	}
+	c.closing, c.linger = true, roomLinger
+	c.endWrite()
+	return true
+}
+
+// restsSince returns since when the connection has rested, if it does.
+func (c *conn) restsSince() (since time.Time, rests bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rested, len(c.queue) == 0 && !c.closing
+}
+
 // await waits for the next request and reports whether there is one.
 func (c *conn) await() bool {
 	for {
@@ -129,6 +155,9 @@
 
 // arm sets how long the connection may stay idle. The caller holds the lock.
 func (c *conn) arm() {
+	if c.closing {
+		return
+	}
 	if len(c.queue) > 0 {
 		_ = c.socket.SetReadDeadline(time.Time{})
 		return
@@ -250,6 +279,7 @@
 		return
 	}
 	if len(c.queue) == 0 {
+		c.rested = time.Now()
 		c.arm()
 	}
 }
@@ -294,14 +324,16 @@
 	if half, ok := c.socket.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite()
 	}
-	_ = c.socket.SetReadDeadline(time.Now().Add(lingerTime))
+	_ = c.socket.SetReadDeadline(time.Now().Add(c.linger))
 }
 
 // watch drops what still comes, until the caller leaves.
 func (c *conn) watch() {
 	c.mu.Lock()
-	if !c.closing && len(c.queue) > 0 {
-		_ = c.socket.SetReadDeadline(time.Time{})
+	if c.closing {
+		_ = c.socket.SetReadDeadline(time.Now().Add(c.linger))
+	} else {
+		c.arm()
 	}
 	c.mu.Unlock()
 	buffer := make([]byte, readBytes)
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -33,6 +33,9 @@
 	defaultBodyBytes     = 1 << 20
 	defaultHeaderTimeout = 10 * time.Second
 	defaultIdleTimeout   = time.Minute
+	// callersPart is the part of the sockets that callers may use. The rest is for
+	// the backend server, the other nodes and the directory.
+	callersPart = 0.6
 )
 
 type (
@@ -97,6 +100,8 @@
 		// RepeatRatio and RepeatSlack bound the repeats of all nodes in 10 s:
 		// a part of the requests, and a number besides.
 		RepeatRatio, RepeatSlack float64
+		// Sockets is the number of sockets that the node may have; 0 sets no bound.
+		Sockets int
 		// Slack is how far customers may go above their rates.
 		Slack admitter.Slack
 	}
@@ -239,9 +244,11 @@
 		Table:     n.table.Load,
 	})
 	n.acceptor = &acceptor.Server{
-		Draining: n.stopping.Load,
-		Handle:   n.admitter.Handle,
-		Limits:   n.limits,
+		Connections: int(callersPart * float64(s.Sockets)),
+		Draining:    n.stopping.Load,
+		Handle:      n.admitter.Handle,
+		Limits:      n.limits,
+		Logger:      s.Logger.Part("acceptor"),
 	}
 }
 
