Do not doubt the backend server for want of descriptors of the node

A connection that could not be set up for want of a descriptor or a port closed the gate of the backend server, so that its calls went elsewhere until a health check. It says nothing about the server, and no longer counts. The test fails before for both causes and passes for a refused connection as it did.

--- a/internal/guardian/guardian_test.go
+++ b/internal/guardian/guardian_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -317,3 +320,30 @@
 		t.Errorf("got %d calls that run, want none", got)
 	}
 }
+
+// TestOwnFaultsDoNotCloseTheServer guards against a backend server that gets no calls
+// because the node itself has no descriptor left for a connection to it.
+func TestOwnFaultsDoNotCloseTheServer(t *testing.T) {
+	tests := []struct {
+		name   string
+		cause  error
+		closed bool
+	}{
+		{"no descriptor", syscall.EMFILE, false},
+		{"no port", syscall.EADDRNOTAVAIL, false},
+		{"refused", syscall.ECONNREFUSED, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, sealed)
+			f.ready(8, 0)
+			refusal := f.failed(t.Context(), &invoker.DialError{Cause: &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", tt.cause)}})
+			if refusal.Ran != exchanger.RanNo {
+				t.Errorf("got refusal %v, want one that says not run", refusal)
+			}
+			if got := f.Load().Closed; got != tt.closed {
+				t.Errorf("got closed %t, want %t", got, tt.closed)
+			}
+		})
+	}
+}
--- a/internal/guardian/state.go
+++ b/internal/guardian/state.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -138,7 +139,7 @@
 func (g *Guardian) failed(ctx context.Context, err error) *exchanger.Refusal {
 	var dial *invoker.DialError
 	if errors.As(err, &dial) {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !ownFault(err) {
 			g.mu.Lock()
 			g.Logger.Warnf("Backend server %s is in doubt: %v.", g.server.Last.ID, err)
 			g.server.Doubt()
@@ -156,6 +157,12 @@
 	return exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "%v", err)
 }
 
+// ownFault reports whether a connection failed for want of descriptors or ports of
+// this process, which says nothing about the backend server.
+func ownFault(err error) bool {
+	return errors.IsAny(err, syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL)
+}
+
 func (g *Guardian) instance() string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
