--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -15,6 +15,9 @@
 	"github.com/flamingotack/flamingotack/internal/framer"
 )
 
+// acceptPause is how long after a failure the next link is accepted.
+const acceptPause = 10 * time.Millisecond
+
 type (
 	// taker serves the streams of other nodes.
 	taker struct {
@@ -46,7 +49,8 @@
 			return nil
 		}
 		if err != nil {
-			time.Sleep(time.Millisecond)
+			l.logger.Warnf("Can't accept a link: %v.", err)
+			time.Sleep(acceptPause)
 			continue
 		}
 		serving.Go(func() { l.serveConn(ctx, socket) })
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -3,17 +3,26 @@
 
 import (
 	"io"
+	stdlog "log"
+	"strings"
 
 	"github.com/phuslu/log"
 )
 
-// Part is the log of one part of a node. It is safe for concurrent use.
-type Part struct {
-	base   *log.Logger
-	prefix string
-	// bounded decides which lines there is room for; nil for all.
-	bounded *Bounded
-}
+type (
+	// Part is the log of one part of a node. It is safe for concurrent use.
+	Part struct {
+		base   *log.Logger
+		prefix string
+		// bounded decides which lines there is room for; nil for all.
+		bounded *Bounded
+	}
+
+	// warnings takes the lines of the standard library's logger.
+	warnings struct {
+		part *Part
+	}
+)
 
 // New returns a log that writes lines of JSON to w. level is the least
 // important level that is written: debug, info, warn or error. Where w is a
@@ -61,6 +70,17 @@
 	}
 }
 
+// Standard returns a logger of the standard library whose lines are warnings.
+func (p *Part) Standard() *stdlog.Logger {
+	return stdlog.New(warnings{p}, "", 0)
+}
+
+// Write logs one line of the standard library's logger.
+func (w warnings) Write(line []byte) (n int, err error) {
+	w.part.Warnf("%s", strings.TrimSpace(string(line)))
+	return len(line), nil
+}
+
 func (p *Part) admit(r Rank) bool {
 	return p.bounded == nil || p.bounded.Admit(r)
 }
