Bound the bytes of a backend server's answer, in its head too

What happened: a status line, a field or provisional answers without an end were read until the deadline, into memory; a body of up to 64 MiB was held for each call, on instances of 184 MiB; and an answer that was refused for its size was still read to its end, as closing such a body does that. Now the head with all provisional answers has 64 KiB, a body 16 MiB, all bodies that are being read 48 MiB together, a body is read as it comes whatever length it claims, and a refused one is not read on.

Evidence: TestBytesWithoutEnd and TestManyBodiesWithoutEnd.

--- a/internal/invoker/conn.go
+++ b/internal/invoker/conn.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,20 +23,33 @@
 	// inlineBytes is the size up to which a body is written before the answer
 	// is read.
 	inlineBytes = 2 << 10
-	// maxAnswerBytes bounds the body of an answer.
-	maxAnswerBytes = 64 << 20
-	readBytes      = 4 << 10
+	// maxHeadBytes bounds the head of an answer with all provisional ones before
+	// it.
+	maxHeadBytes = 64 << 10
+	// maxAnswerBytes bounds the body of an answer, and maxHeldBytes those of all
+	// answers that are being read.
+	maxAnswerBytes = 16 << 20
+	maxHeldBytes   = 48 << 20
+	// holdBytes is the part of a body that is read at once.
+	holdBytes = 64 << 10
+	readBytes = 4 << 10
 )
 
 var (
-	errTooLarge = errors.New("answer is too large")
-	errUnnamed  = errors.New("answer names another request")
+	errHeadTooLarge = errors.New("head of the answer is too large")
+	errTooLarge     = errors.New("answer is too large")
+	errTooMuch      = errors.New("answers that are being read are too large together")
+	errUnnamed      = errors.New("answer names another request")
 )
 
 // conn is one connection to the backend server.
 type conn struct {
 	socket net.Conn
+	input  *headReader
 	reader *bufio.Reader
+	// held is the number of bytes of all answers that are being read, on this and
+	// other connections.
+	held *atomic.Int64
 	// used is when the last answer ended, and limit how long after that the
 	// connection may be used again.
 	used  time.Time
@@ -42,8 +58,26 @@
 	spent bool
 }
 
-func newConn(socket net.Conn) *conn {
-	return &conn{socket: socket, reader: bufio.NewReaderSize(socket, readBytes), limit: idleLimit}
+func newConn(socket net.Conn, held *atomic.Int64) *conn {
+	input := &headReader{reader: socket}
+	return &conn{socket: socket, input: input, reader: bufio.NewReaderSize(input, readBytes), held: held, limit: idleLimit}
+}
+
+// headReader fails once more of a head was read than is left, so that bytes without
+// an end are not kept.
+type headReader struct {
+	reader io.Reader
+	left   int64
+}
+
+// Read reads at most what is left.
+func (r *headReader) Read(p []byte) (n int, err error) {
+	if r.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err = r.reader.Read(p)
+	r.left -= int64(n)
+	return n, err
 }
 
 // clean reports whether the connection is open and has nothing to read: bytes
@@ -120,6 +154,7 @@
 }
 
 func (c *conn) readOne(method string) (a *Answer, err error) {
+	c.input.left = maxHeadBytes
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
@@ -133,21 +168,13 @@
 }
 
 func (c *conn) readBody(response *http.Response) (a *Answer, err error) {
-	defer response.Body.Close()
+	// The body is not closed: that would read it to its end, which may not come.
+	c.input.left = math.MaxInt64
 	a = &Answer{Status: response.StatusCode, Header: response.Header}
-	switch {
-	case response.ContentLength > maxAnswerBytes:
+	if response.ContentLength > maxAnswerBytes {
 		return nil, errTooLarge
-	case response.ContentLength >= 0:
-		a.Body = make([]byte, response.ContentLength)
-		_, err = io.ReadFull(response.Body, a.Body)
-	default:
-		a.Body, err = io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-		if len(a.Body) > maxAnswerBytes {
-			err = errTooLarge
-		}
 	}
-	if err != nil {
+	if a.Body, err = c.readAll(response); err != nil {
 		return nil, err
 	}
 	c.spent = c.spent || response.Close
@@ -158,6 +185,37 @@
 	return a, nil
 }
 
+// readAll reads a body as it comes: a length alone is no reason to hold memory.
+func (c *conn) readAll(response *http.Response) (body []byte, err error) {
+	length := response.ContentLength
+	switch {
+	case response.Body == http.NoBody:
+		return nil, nil
+	case length >= 0 && length <= holdBytes:
+		body = make([]byte, length)
+		_, err = io.ReadFull(response.Body, body)
+		return body, err
+	}
+	held := int64(0)
+	defer func() { c.held.Add(-held) }()
+	var buffer bytes.Buffer
+	for {
+		n, err := io.CopyN(&buffer, response.Body, holdBytes)
+		held += n
+		together := c.held.Add(n)
+		switch {
+		case errors.Is(err, io.EOF):
+			return buffer.Bytes(), nil
+		case err != nil:
+			return nil, err
+		case held > maxAnswerBytes:
+			return nil, errTooLarge
+		case together > maxHeldBytes:
+			return nil, errTooMuch
+		}
+	}
+}
+
 // keepAlive returns for how many seconds the server keeps an idle connection; 0
 // when it does not say.
 func keepAlive(h http.Header) (seconds int) {
--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/dialer"
@@ -56,6 +57,8 @@
 		// Dialect names the header fields.
 		Dialect exchanger.Dialect
 
+		// held is the number of bytes of the answers that are being read.
+		held   atomic.Int64
 		mu     sync.Mutex
 		idle   []*conn
 		opened int64
@@ -149,7 +152,7 @@
 	v.mu.Lock()
 	v.opened++
 	v.mu.Unlock()
-	return newConn(socket), nil
+	return newConn(socket, &v.held), nil
 }
 
 func (v *Invoker) release(c *conn) {
--- a/internal/invoker/invoker_test.go
+++ b/internal/invoker/invoker_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -197,3 +198,86 @@
 		<-closed
 	})
 }
+
+// TestBytesWithoutEnd guards against a node that runs out of memory: a server that
+// sends bytes without an end, in a head or a body, until the connection is closed.
+func TestBytesWithoutEnd(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nAttempt: 1\r\n"
+	tests := []struct {
+		name string
+		// first is sent once, and more again and again.
+		first, more string
+	}{
+		{"a status line", "", "x"},
+		{"a field", head + "X: ", "x"},
+		{"fields", head, "X: y\r\n"},
+		{"provisional answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"a body without a length", head + "\r\n", "x"},
+		{"a body with a length", head + "Content-Length: 9000000000\r\n\r\n", "x"},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1024) + "\r\n"},
+		{"an extension of a chunk", head + "Transfer-Encoding: chunked\r\n\r\n1;", "x"},
+		{"answers to others", "", "HTTP/1.1 200 OK\r\nAttempt: 0\r\nContent-Length: 0\r\n\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			closed := make(chan struct{})
+			v := answering(t, func(c net.Conn, _ *http.Request, _ int) bool {
+				defer close(closed)
+				io.WriteString(c, tt.first)
+				for more := []byte(strings.Repeat(tt.more, 1+(32<<10)/len(tt.more))); ; {
+					if _, err := c.Write(more); err != nil {
+						return false
+					}
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			_, err := v.Send(ctx, get("1"))
+			var broken *BrokenError
+			if !errors.As(err, &broken) {
+				t.Errorf("got error %v, want one of a broken connection", err)
+			}
+			<-closed
+			if got := v.held.Load(); got != 0 {
+				t.Errorf("got %d bytes held after the end, want 0", got)
+			}
+		})
+	}
+}
+
+// TestManyBodiesWithoutEnd lets many answers come at once that are too large together.
+func TestManyBodiesWithoutEnd(t *testing.T) {
+	v := answering(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nAttempt: 1\r\n\r\n")
+		for more := make([]byte, 32<<10); ; {
+			if _, err := c.Write(more); err != nil {
+				return false
+			}
+		}
+	})
+	var most atomic.Int64
+	var sending sync.WaitGroup
+	for range 16 {
+		sending.Go(func() {
+			if _, err := v.Send(t.Context(), get("1")); err == nil {
+				t.Error("got an answer without an end, want an error")
+			}
+		})
+	}
+	ended := make(chan struct{})
+	go func() {
+		sending.Wait()
+		close(ended)
+	}()
+	for running := true; running; {
+		select {
+		case <-ended:
+			running = false
+		default:
+			most.Store(max(most.Load(), v.held.Load()))
+		}
+	}
+	if got, want := most.Load(), int64(maxHeldBytes+16*holdBytes); got > want {
+		t.Errorf("got %d bytes held, want at most %d", got, want)
+	}
+}
