Do not end connections on which a request has begun to come

Room for new connections was also made with a connection whose caller was in the middle of a long body: with no answer due it counted as resting. The request had not run and could be sent again, but all of its body again as well. Such a connection no longer rests. The idle limit is no more set while a request comes either, where it took the place of the limit for heads and bodies.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -19,15 +19,22 @@
 
 // testServer serves handle on a free port and returns a connection to it.
 func testServer(t *testing.T, handle func(context.Context, *Request) *Response) (s *Server, dial func() net.Conn) {
+	t.Helper()
+	return boundedServer(t, 0, handle)
+}
+
+// boundedServer is testServer with a bound on the connections.
+func boundedServer(t *testing.T, connections int, handle func(context.Context, *Request) *Response) (s *Server, dial func() net.Conn) {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s = &Server{
-		Draining: func() bool { return false },
-		Handle:   handle,
-		Logger:   logger.New(io.Discard, "info", "n"),
+		Connections: connections,
+		Draining:    func() bool { return false },
+		Handle:      handle,
+		Logger:      logger.New(io.Discard, "info", "n"),
 		Limits: func() Limits {
 			return Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second}
 		},
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -32,6 +32,8 @@
 		mu sync.Mutex
 		// queue holds the exchanges without an answer on the wire, in order.
 		queue []*exchange
+		// reading says that a request has begun to come and is not in the queue yet.
+		reading bool
 		// writing says that answers are being written.
 		writing bool
 		// closing is set once the last answer is known. Nothing is behind it in
@@ -121,7 +123,7 @@
 func (c *conn) end() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing || len(c.queue) > 0 {
+	if !c.rests() {
 		return false
 	}
 	c.closing, c.linger = true, roomLinger
@@ -133,7 +135,12 @@
 func (c *conn) restsSince() (since time.Time, rests bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.rested, len(c.queue) == 0 && !c.closing
+	return c.rested, c.rests()
+}
+
+// rests reports whether no request comes or runs. The caller holds the lock.
+func (c *conn) rests() bool {
+	return len(c.queue) == 0 && !c.reading && !c.closing
 }
 
 // await waits for the next request and reports whether there is one.
@@ -145,6 +152,9 @@
 		c.mu.Unlock()
 		_, err := c.reader.Peek(1)
 		if err == nil {
+			c.mu.Lock()
+			c.reading = true
+			c.mu.Unlock()
 			return true
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.running() {
@@ -239,6 +249,7 @@
 func (c *conn) push(e *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = false
 	if c.closing {
 		return false
 	}
@@ -278,7 +289,7 @@
 		c.endWrite()
 		return
 	}
-	if len(c.queue) == 0 {
+	if c.rests() {
 		c.rested = time.Now()
 		c.arm()
 	}
--- a/internal/acceptor/room_test.go
+++ b/internal/acceptor/room_test.go
@@ -116,3 +116,33 @@
 		})
 	}
 }
+
+// TestRequestsThatComeSlowlyDoNotMakeRoom lets a body come in two parts, with many
+// connections of others in between.
+func TestRequestsThatComeSlowlyDoNotMakeRoom(t *testing.T) {
+	const room = 8
+	s, dial := boundedServer(t, room, func(_ context.Context, r *Request) *Response {
+		return &Response{Status: http.StatusOK, Body: r.Content}
+	})
+	slow := dial()
+	fmt.Fprint(slow, "POST /slow HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbo")
+	wait(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.conns {
+			if _, rests := c.restsSince(); !rests {
+				return true
+			}
+		}
+		return false
+	})
+	for range 4 * room {
+		c := dial()
+		fmt.Fprint(c, "GET /short HTTP/1.1\r\nHost: a\r\n\r\n")
+		readResponse(t, bufio.NewReader(c), http.MethodGet)
+	}
+	fmt.Fprint(slow, "at")
+	if status, body := readResponse(t, bufio.NewReader(slow), http.MethodPost); status != http.StatusOK || body != "boat" {
+		t.Errorf("got %d %q, want 200 with the body", status, body)
+	}
+}
