Let connections to nodes be set up behind callers that gave up

An ask for tokens of a customer's rate has 100 ms, with the connection in them. The connection is now set up all the same and kept for the next caller.

The test fails before: no connection in 5 s.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -123,7 +123,7 @@
 func (c *Connector) Link(ctx context.Context, address string) (*Link, error) {
 	conn := c.take(address)
 	if conn == nil {
-		dialed, err := c.dial(ctx, address)
+		dialed, err := c.dialOn(ctx, address)
 		if err != nil {
 			return nil, &DialError{Address: address, Cause: err}
 		}
@@ -286,6 +286,33 @@
 	return nil
 }
 
+// dialOn dials and gives up when ctx ends. The connection is set up all the same and
+// kept for the next caller: else callers whose patience is shorter than that takes
+// would never get one.
+func (c *Connector) dialOn(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	type result struct {
+		conn *drpcconn.Conn
+		err  error
+	}
+	dialed := make(chan result)
+	go func() {
+		conn, err := c.dial(context.WithoutCancel(ctx), address)
+		select {
+		case dialed <- result{conn, err}:
+		case <-ctx.Done():
+			if err == nil {
+				c.put(address, conn)
+			}
+		}
+	}()
+	select {
+	case r := <-dialed:
+		return r.conn, r.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 func (c *Connector) dial(ctx context.Context, address string) (conn *drpcconn.Conn, err error) {
 	defer func() { err = errors.Wrap(err, "dial") }()
 	dialer := &net.Dialer{Timeout: dialTimeout, LocalAddr: c.source}
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -216,3 +216,33 @@
 		t.Errorf("got %v, want a DialError, so that nothing was sent", err)
 	}
 }
+
+// TestSlowConnectionsServeLaterCalls guards against calls that never get through, as
+// each gives up sooner than a connection is set up and throws it away.
+func TestSlowConnectionsServeLaterCalls(t *testing.T) {
+	const setup, patience = 50 * time.Millisecond, 20 * time.Millisecond
+	address := servePings(t, nil)
+	c := New("127.0.0.1:0")
+	t.Cleanup(c.Close)
+	c.Secure = func(ctx context.Context, conn net.Conn) (net.Conn, error) {
+		select {
+		case <-time.After(setup):
+			return conn, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	deadline := time.Now().Add(testTimeout)
+	for {
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		link, err := c.Link(ctx, address)
+		cancel()
+		if err == nil {
+			link.Release(true)
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("got error %v for %s, want a connection", err, testTimeout)
+		}
+	}
+}
