--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -336,6 +336,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		response.Body.Close()
 		if got, want := response.Close, i == maxPipelined-1; got != want {
 			t.Errorf("got last %t for answer %d, want %t", got, i, want)
 		}
--- a/internal/invoker/conn.go
+++ b/internal/invoker/conn.go
@@ -156,7 +156,7 @@
 func (c *conn) readOne(method string) (a *Answer, err error) {
 	c.input.left = maxHeadBytes
 	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method}) //nolint:bodyclose // That would read it to its end, which may not come.
 		if err != nil {
 			return nil, err
 		}
@@ -168,7 +168,6 @@
 }
 
 func (c *conn) readBody(response *http.Response) (a *Answer, err error) {
-	// The body is not closed: that would read it to its end, which may not come.
 	c.input.left = math.MaxInt64
 	a = &Answer{Status: response.StatusCode, Header: response.Header}
 	if response.ContentLength > maxAnswerBytes {
