--- a/internal/acceptor/room.go
+++ b/internal/acceptor/room.go
@@ -14,6 +14,13 @@
 	roomLinger = 50 * time.Millisecond
 )
 
+// restingConn is a connection that rests.
+type restingConn struct {
+	conn *conn
+	// since is when its last request was answered, or when it was accepted.
+	since time.Time
+}
+
 // makeRoom ends the connections that have rested longest, and returns their number.
 // Their callers either come with a new connection each time or are the least likely
 // to come back soon.
@@ -41,22 +48,15 @@
 	}
 }
 
-// rest is a connection that rests.
-type rest struct {
-	conn *conn
-	// since is when its last request was answered, or when it was accepted.
-	since time.Time
-}
-
 // resting returns the connections that rest, the longest first.
-func (s *Server) resting() (list []rest) {
+func (s *Server) resting() (list []restingConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		if since, rests := c.restsSince(); rests {
-			list = append(list, rest{conn: c, since: since})
+			list = append(list, restingConn{conn: c, since: since})
 		}
 	}
-	slices.SortFunc(list, func(a, b rest) int { return a.since.Compare(b.since) })
+	slices.SortFunc(list, func(a, b restingConn) int { return a.since.Compare(b.since) })
 	return list
 }
