Ask a lender that was late again when nobody else has tokens

Cause: an ask has 100 ms. The lender that missed it once was not asked for a second, but a request waits for half a second at most; where that lender is the only one that knows the rate, one late answer refuses every request of that time.

Change: lenders that were late come last in place of never.

TestLateLenderIsAskedAgain needs no network and fails before with no lender in place of the late one.

--- a/internal/throttler/lenders.go
+++ b/internal/throttler/lenders.go
@@ -35,11 +35,19 @@
 	l.avoided[name] = now.Add(avoidTime)
 }
 
-// Next returns the lender to ask after tried ones have been asked in vain;
-// false when there is none.
+// Next returns the lender to ask after tried ones have been asked in vain; false when
+// there is none. Lenders that are avoided come last: one that was late once may be the
+// only one that knows the customer's rate.
 func (l *Lenders) Next(now time.Time, tried []string) (name string, found bool) {
+	avoided := ""
 	for i, n := range l.Names {
-		if now.Before(l.avoided[n]) || slices.Contains(tried, n) {
+		if slices.Contains(tried, n) {
+			continue
+		}
+		if until := l.avoided[n]; now.Before(until) {
+			if avoided == "" || until.Before(l.avoided[avoided]) {
+				avoided = n
+			}
 			continue
 		}
 		if !found || l.left[n] > l.left[name] {
@@ -49,6 +57,9 @@
 			break
 		}
 	}
+	if !found && avoided != "" {
+		return avoided, true
+	}
 	return name, found
 }
 
