--- a/internal/composer/meters.go
+++ b/internal/composer/meters.go
@@ -14,7 +14,6 @@
 		{"flamingotack.links.lost", "Links to other nodes that broke or went silent.", n.linker.Lost.Load},
 		{"flamingotack.connections.dropped", "Connections of callers that were closed to make room.", n.acceptor.Dropped.Load},
 		{"flamingotack.connections.failed", "Connections of callers that could not be accepted.", n.acceptor.Failed.Load},
-		{"flamingotack.connections.open", "Connections of callers.", func() int64 { return int64(n.acceptor.Open()) }},
 		{"flamingotack.unbegun", "Requests that were not begun, as their callers had left.", n.acceptor.Unbegun.Load},
 		{"flamingotack.repeats", "Calls that were sent to another node after the first one.", n.forwarder.Repeats.Load},
 		{"flamingotack.runs", "Calls that were sent to the backend server.", n.guardian.Runs.Load},
@@ -23,5 +22,5 @@
 			return err
 		}
 	}
-	return nil
+	return n.settings.Meter.WatchLevel("flamingotack.connections.open", "Connections of callers.", func() int64 { return int64(n.acceptor.Open()) })
 }
--- a/internal/meter/watch.go
+++ b/internal/meter/watch.go
@@ -18,6 +18,17 @@
 	return errors.Wrapf(err, "watch %s", name)
 }
 
+// WatchLevel shows a number that another part keeps and that rises and falls.
+func (m *Meter) WatchLevel(name, description string, value func() int64) error {
+	_, err := m.meter.Int64ObservableGauge(name,
+		metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(value())
+			return nil
+		}))
+	return errors.Wrapf(err, "watch %s", name)
+}
+
 // WatchSeconds shows a duration in seconds that another part keeps.
 func (m *Meter) WatchSeconds(name, description string, value func() float64) error {
 	_, err := m.meter.Float64ObservableGauge(name,
