Close a connection that has rested for the limit, and do not read it on

What callers saw: a request on a connection that had rested got neither an answer nor a refusal until the node stopped. Cause: after the idle limit the connection went on to the loop that drops what comes behind a last answer, and that loop had come to set a new limit. It is now left at once, as it was before; only what follows a last answer is dropped. The test fails before: no end of the connection within 1.8 times the limit.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -373,3 +373,38 @@
 		t.Error("got no second request while the first answer is being read, want it")
 	}
 }
+
+// TestConnectionsThatRestTooLongEnd guards against requests that are read and dropped:
+// a connection that has rested for the limit is closed then, and not read on.
+func TestConnectionsThatRestTooLongEnd(t *testing.T) {
+	const limit = time.Second
+	s := &Server{
+		Draining: func() bool { return false },
+		Handle:   func(context.Context, *Request) *Response { return &Response{Status: http.StatusOK} },
+		Limits: func() Limits {
+			return Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 10, HeaderTimeout: time.Minute, IdleTimeout: limit}
+		},
+		Logger: logger.New(io.Discard, "info", "n"),
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(l)
+	t.Cleanup(func() {
+		l.Close()
+		s.Close()
+	})
+	c, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	r := bufio.NewReader(c)
+	readResponse(t, r, http.MethodGet)
+	_ = c.SetReadDeadline(time.Now().Add(limit * 9 / 5))
+	if _, err := r.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("got error %v on a connection that rests, want EOF soon after %s", err, limit)
+	}
+}
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -80,17 +80,17 @@
 	for c.await() {
 		r, err := c.read(c.server.Limits())
 		if err != nil {
-			if !c.reject(err) {
-				return
+			if c.reject(err) {
+				c.watch()
 			}
-			break
+			return
 		}
 		e := &exchange{request: r, last: r.Close || !r.ProtoAtLeast(1, 1)}
 		if !c.push(e) || e.last {
-			break
+			c.watch()
+			return
 		}
 	}
-	c.watch()
 }
 
 // abandon takes back the requests that were not begun, as their caller has left.
