Link to a bounded part of each service's nodes

Ruled out: slower telling (it is what made the picture a second old); delegates that sum up loads (a further role that can be lost, see docs/decisions/0054). Change: selector gives each node an order of each service's nodes, equal for all servers; the linker keeps links to the first 16 that can be used and tells its load to those that link to it; members spread as rumors with digests behind them; the ingress scales its sample.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -268,9 +268,7 @@
 func (n *Node) join(ctx context.Context) error {
 	members, err := n.settings.Directory.Join(ctx, n.self)
 	if err == nil {
-		for _, m := range members {
-			n.linker.Meet(m, false)
-		}
+		n.linker.Introduce(members)
 		n.shares.Set(n.table.Load())
 	}
 	<-ctx.Done()
--- a/internal/composer/meters.go
+++ b/internal/composer/meters.go
@@ -10,7 +10,7 @@
 		value             func() int64
 	}{
 		{"flamingotack.revision", "Revision of the configuration in force.", func() int64 { return int64(n.table.Load().State.Revision) }},
-		{"flamingotack.members.changes", "Changes of the members that the node knows.", func() int64 { return int64(n.linker.Changed()) }},
+		{"flamingotack.peers.changes", "Changes of the other nodes and of the links to them.", func() int64 { return int64(n.linker.Changed()) }},
 		{"flamingotack.links.lost", "Links to other nodes that broke or went silent.", n.linker.Lost.Load},
 		{"flamingotack.connections.dropped", "Connections of callers that were closed to make room.", n.acceptor.Dropped.Load},
 		{"flamingotack.connections.failed", "Connections of callers that could not be accepted.", n.acceptor.Failed.Load},
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -88,8 +88,8 @@
 	if service == f.Self.Service {
 		return false
 	}
-	for _, c := range f.crowds[service] {
-		r, told := f.loads[c.Name]
+	for _, name := range f.services[service] {
+		r, told := f.loads[name]
 		if !told || !r.load.Closed || now.Sub(r.taken) > loadLife {
 			return false
 		}
@@ -121,7 +121,8 @@
 	f.routes.Add(f.Clock.Now(), route, held)
 }
 
-// measure works out the pressure on each service. The caller holds the lock.
+// measure works out the pressure on each service, by the nodes that this one links
+// to. The caller holds the lock.
 func (f *Forwarder) measure(now time.Time) {
 	if now.Sub(f.measured) < pressureInterval {
 		return
@@ -141,6 +142,7 @@
 	}
 	for service, b := range bears {
 		f.held[service] = held[service] / time.Duration(count[service])
-		f.regulator.Report(now, service, offered[service], b)
+		scale := max(1, f.samples[service])
+		f.regulator.Report(now, service, scale*offered[service], scale*b)
 	}
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -54,9 +54,14 @@
 		random    *rand.Rand
 		router    router.Router
 		allowance retrier.Allowance
-		crowds    map[string][]router.Candidate
-		members   map[string]linker.Member
-		changed   uint64
+		// crowds are the nodes of each service that calls may be sent to.
+		crowds  map[string][]router.Candidate
+		members map[string]linker.Member
+		// services are the nodes of each service, linked to or not, and samples
+		// how many there are for each one that this node links to.
+		services map[string][]string
+		samples  map[string]float64
+		changed  uint64
 		// fans is what nodes told of their backend servers' calls, by node and
 		// by the route of the runs.
 		fans map[string]map[string]linker.Fans
@@ -77,14 +82,12 @@
 
 	// Links are the ways to other nodes.
 	Links interface {
-		// Changed returns a number that grows with each change of Members.
+		// Changed returns a number that grows with each change of Peers.
 		Changed() uint64
-		// Members returns the other nodes.
-		Members() []linker.Member
+		// Peers returns the other nodes.
+		Peers() []linker.Peer
 		// Send runs a call on a node.
 		Send(ctx context.Context, name string, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal)
-		// Up reports whether a node can be reached.
-		Up(name string) bool
 	}
 
 	// Settings are what a Forwarder works with.
@@ -150,7 +153,7 @@
 	f.refresh()
 	for _, c := range f.crowds[service] {
 		r, told := f.loads[c.Name]
-		if told && !r.load.Closed && f.Links.Up(c.Name) {
+		if told && !r.load.Closed && c.Name != f.Self.Name {
 			count++
 		}
 	}
@@ -188,13 +191,7 @@
 	if c.Service == f.Self.Service {
 		f.takeLoad(f.Self, local)
 	}
-	candidates := make([]router.Candidate, 0, len(f.crowds[c.Service]))
-	for _, one := range f.crowds[c.Service] {
-		if one.Name == f.Self.Name || f.Links.Up(one.Name) {
-			candidates = append(candidates, one)
-		}
-	}
-	picked, verdict := f.router.Pick(now, f.random, candidates, c.Priority, tried)
+	picked, verdict := f.router.Pick(now, f.random, f.crowds[c.Service], c.Priority, tried)
 	return f.members[picked.Name], verdict == router.VerdictPicked
 }
 
@@ -218,18 +215,23 @@
 		return
 	}
 	f.changed = changed
-	f.members = map[string]linker.Member{f.Self.Name: f.Self}
-	for _, m := range f.Links.Members() {
-		f.members[m.Name] = m
-	}
+	f.members = map[string]linker.Member{}
 	f.crowds = map[string][]router.Candidate{}
-	for _, m := range f.members {
-		f.crowds[m.Service] = append(f.crowds[m.Service], router.Candidate{
-			Name:        m.Name,
-			Incarnation: m.Incarnation,
-			Domain:      m.Domain,
-			Region:      f.router.Region,
-		})
+	f.services = map[string][]string{}
+	linked := map[string]int{}
+	for _, p := range append(f.Links.Peers(), linker.Peer{Member: f.Self, Chosen: true, Up: true}) {
+		f.members[p.Name] = p.Member
+		f.services[p.Service] = append(f.services[p.Service], p.Name)
+		if p.Chosen {
+			linked[p.Service]++
+		}
+		if p.Up {
+			f.crowds[p.Service] = append(f.crowds[p.Service], f.candidate(p.Member))
+		}
+	}
+	f.samples = map[string]float64{}
+	for service, count := range linked {
+		f.samples[service] = float64(len(f.services[service])) / float64(count)
 	}
 	known := func(name string) bool {
 		_, found := f.members[name]
@@ -240,6 +242,10 @@
 	maps.DeleteFunc(f.loads, func(name string, _ loadReport) bool { return !known(name) })
 }
 
+func (f *Forwarder) candidate(m linker.Member) router.Candidate {
+	return router.Candidate{Name: m.Name, Incarnation: m.Incarnation, Domain: m.Domain, Region: f.router.Region}
+}
+
 func (f *Forwarder) send(ctx context.Context, m linker.Member, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
 	if m.Name == f.Self.Name {
 		ctx, cancel := context.WithDeadline(ctx, c.Deadline.Add(localMargin))
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -23,9 +23,14 @@
 	sent    []string
 }
 
-func (l *fakeLinks) Changed() uint64          { return 1 }
-func (l *fakeLinks) Members() []linker.Member { return l.members }
-func (l *fakeLinks) Up(name string) bool      { return !l.down[name] }
+func (l *fakeLinks) Changed() uint64 { return 1 }
+
+func (l *fakeLinks) Peers() (peers []linker.Peer) {
+	for _, m := range l.members {
+		peers = append(peers, linker.Peer{Member: m, Chosen: true, Up: !l.down[m.Name]})
+	}
+	return peers
+}
 
 func (l *fakeLinks) Send(_ context.Context, name string, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
 	l.sent = append(l.sent, name)
--- /dev/null
+++ b/internal/linker/choice.go
@@ -0,0 +1,96 @@
+package linker
+
+import (
+	"time"
+
+	"github.com/flamingotack/flamingotack/internal/selector"
+)
+
+// choose decides which links are kept: those to the first members of each service
+// that can be used, in the node's own order. Links that are not wanted any more
+// linger, as those may be that come back.
+func (l *Linker) choose() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	l.chosen = now
+	l.orderMembers()
+	for _, k := range l.links {
+		k.wanted = false
+	}
+	for _, names := range l.orders {
+		l.want(now, names)
+	}
+	for _, k := range l.links {
+		k.keepOrEnd(now)
+	}
+}
+
+// orderMembers brings the orders up to date. The caller holds the lock.
+func (l *Linker) orderMembers() {
+	if l.orders != nil && l.ordersOf == l.changed {
+		return
+	}
+	l.ordersOf = l.changed
+	nodes := []selector.Node{toNode(l.self)}
+	for _, k := range l.links {
+		nodes = append(nodes, toNode(k.member))
+	}
+	l.orders = selector.Orders(nodes[0], nodes)
+}
+
+// want marks the links to the first members of a service that can be used. The
+// caller holds the lock.
+func (l *Linker) want(now time.Time, names []string) {
+	usable := 0
+	for _, name := range names[:min(selector.Most, len(names))] {
+		if usable >= selector.Linked {
+			return
+		}
+		k := l.links[name]
+		if k == nil {
+			// The node itself.
+			usable++
+			continue
+		}
+		k.wanted = true
+		if k.usable(now) {
+			usable++
+		}
+	}
+}
+
+// keepOrEnd starts a link that is wanted and ends one that has not been for a while,
+// unless something runs over it. The caller holds the owner's lock.
+func (k *link) keepOrEnd(now time.Time) {
+	if k.wanted {
+		k.lastWanted = now
+	}
+	chosen := k.chosen
+	switch {
+	case k.wanted && k.started.IsZero() && k.owner.ctx != nil && k.owner.ctx.Err() == nil:
+		k.started = now
+		k.chosen = true
+		k.start(k.owner.ctx)
+	case !k.wanted && !k.started.IsZero() && now.Sub(k.lastWanted) > linger && k.idle():
+		k.started = time.Time{}
+		k.chosen = false
+		k.stop()
+	}
+	if k.chosen != chosen {
+		k.owner.version.Add(1)
+	}
+}
+
+// usable reports whether the node takes work, or may take some once the link
+// stands. The caller holds the owner's lock.
+func (k *link) usable(now time.Time) bool {
+	if k.current.Load() == nil {
+		return k.started.IsZero() || k.downs.Load() == 0 && now.Sub(k.started) < dialTimeout
+	}
+	return !k.closed.Load()
+}
+
+func toNode(m Member) selector.Node {
+	return selector.Node{Name: m.Name, Service: m.Service, Domain: m.Domain}
+}
--- a/internal/linker/convert.go
+++ b/internal/linker/convert.go
@@ -92,6 +92,10 @@
 	}
 }
 
+func fromMember(m Member) *framer.Peer {
+	return &framer.Peer{Name: m.Name, Incarnation: m.Incarnation, Address: m.Address, Service: m.Service, Domain: m.Domain}
+}
+
 func fromRefusal(r *exchanger.Refusal) *framer.Refusal {
 	return &framer.Refusal{
 		Status:      int32(r.Status),
@@ -155,6 +159,19 @@
 	}
 }
 
+// memberMessage is a message that describes a member.
+type memberMessage interface {
+	GetName() string
+	GetIncarnation() string
+	GetAddress() string
+	GetService() string
+	GetDomain() string
+}
+
+func toMember(m memberMessage) Member {
+	return Member{Name: m.GetName(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), Service: m.GetService(), Domain: m.GetDomain()}
+}
+
 func toRefusal(f *framer.Frame) *exchanger.Refusal {
 	m := f.GetRefusal()
 	if m == nil {
--- /dev/null
+++ b/internal/linker/fleet_test.go
@@ -0,0 +1,121 @@
+package linker
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/flamingotack/flamingotack/internal/director"
+	"github.com/flamingotack/flamingotack/internal/selector"
+)
+
+// fleetNodes is more than the nodes of a service to which a node links.
+const fleetNodes = 2 * selector.Linked
+
+// startFleet starts nodes of one service that hear of each other by news alone: each
+// is told of the one before.
+func startFleet(t *testing.T) (nodes []*node) {
+	t.Helper()
+	for i := range fleetNodes {
+		n := startNode(t, fmt.Sprintf("n%02d", i))
+		if i > 0 {
+			n.Meet(nodes[i-1].member, false)
+		}
+		nodes = append(nodes, n)
+	}
+	awaitAll(t, nodes, func(n *node) bool { return len(n.Members()) == fleetNodes-1 })
+	return nodes
+}
+
+func awaitAll(t *testing.T, nodes []*node, done func(n *node) bool) {
+	t.Helper()
+	await(t, func() bool {
+		for _, n := range nodes {
+			if !done(n) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// up returns the number of links that stand.
+func (n *node) up() (count int) {
+	for _, p := range n.Peers() {
+		if p.Up {
+			count++
+		}
+	}
+	return count
+}
+
+// TestLinksDoNotFollowTheFleet is a deployment with more nodes than a node links to:
+// all know each other, each has enough links and not one to everybody, and a new
+// configuration reaches all.
+func TestLinksDoNotFollowTheFleet(t *testing.T) {
+	nodes := startFleet(t)
+	awaitAll(t, nodes, func(n *node) bool { return n.up() >= selector.Linked-1 })
+	for _, n := range nodes {
+		wanted := 0
+		n.Linker.mu.Lock()
+		for _, k := range n.links {
+			if k.wanted {
+				wanted++
+			}
+		}
+		n.Linker.mu.Unlock()
+		if wanted > selector.Linked {
+			t.Errorf("node %s: got %d links wanted, want at most %d", n.member.Name, wanted, selector.Linked)
+		}
+	}
+	nodes[3].mu.Lock()
+	nodes[3].state = director.State{Revision: 9, Config: &director.Config{Version: 4}}
+	nodes[3].mu.Unlock()
+	awaitAll(t, nodes, func(n *node) bool { return n.getState().Revision == 9 })
+}
+
+// TestLeavingIsKnownToNodesWithoutALink lets a node leave that most others have no
+// link to.
+func TestLeavingIsKnownToNodesWithoutALink(t *testing.T) {
+	nodes := startFleet(t)
+	gone := nodes[5]
+	gone.Leave()
+	others := append(nodes[:5:5], nodes[6:]...)
+	awaitAll(t, others, func(n *node) bool { return len(n.Members()) == fleetNodes-2 })
+	for _, n := range others {
+		n.Meet(gone.member, false)
+		if got := len(n.Members()); got != fleetNodes-2 {
+			t.Errorf("node %s: got %d members after it was told again of the one that left, want %d", n.member.Name, got, fleetNodes-2)
+		}
+	}
+}
+
+// TestOtherLinksReplaceThoseThatCannotBeUsed closes the backend servers that a node
+// links to: it sets up links to others.
+func TestOtherLinksReplaceThoseThatCannotBeUsed(t *testing.T) {
+	nodes := startFleet(t)
+	first := nodes[0]
+	await(t, func() bool { return first.up() >= selector.Linked-1 })
+	first.Linker.mu.Lock()
+	wanted := map[string]bool{}
+	for name, k := range first.links {
+		wanted[name] = k.wanted
+	}
+	first.Linker.mu.Unlock()
+	for _, n := range nodes {
+		if wanted[n.member.Name] {
+			n.mu.Lock()
+			n.load.Closed = true
+			n.mu.Unlock()
+			n.Announce()
+		}
+	}
+	await(t, func() bool {
+		open := 0
+		for _, p := range first.Peers() {
+			if p.Up && !wanted[p.Name] {
+				open++
+			}
+		}
+		return open >= selector.Linked/2
+	})
+}
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -24,16 +24,24 @@
 
 		// current is the session that stands; nil without one.
 		current atomic.Pointer[session]
+		// closed says that the node last told that it takes no work.
+		closed atomic.Bool
+		// downs counts the sessions that ended and those that could not be set
+		// up, since the link was started.
+		downs atomic.Int64
+
+		// wanted says that the last choice wanted the link, lastWanted when one
+		// last did, started when the link was started, zero while it is not kept,
+		// and chosen that it is kept. The owner's lock guards them.
+		wanted, chosen      bool
+		lastWanted, started time.Time
 
 		mu      sync.Mutex
 		pending map[uint64]*pending
 		number  uint64
 		pinged  time.Time
-		// told is when news were last sent, and loaded when at least the load
-		// was.
-		told, loaded time.Time
-		// fansCount is the owner's when news were last sent.
-		fansCount uint64
+		// told is when news were last sent.
+		told time.Time
 	}
 
 	// pending is an exchange whose answer is due.
@@ -88,20 +96,16 @@
 
 // begun takes a session that has just told the news into use.
 func (k *link) begun(s *session) {
-	k.owner.mu.Lock()
-	defer k.owner.mu.Unlock()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.told = k.owner.clock.Now()
-	k.loaded = k.told
-	k.fansCount = k.owner.fansCount
+	k.told = k.owner.clock.Now().Add(firstNews - newsInterval)
 	k.current.Store(s)
+	k.owner.version.Add(1)
 }
 
 // check pings a link on which an answer is due, ends a silent one, and tells the
-// news and the load when they are due, the load after loadDue. The caller holds
-// the linker's lock.
-func (k *link) check(now time.Time, loadDue time.Duration) {
+// news when they are due. The caller holds the linker's lock.
+func (k *link) check(now time.Time) {
 	s := k.current.Load()
 	if s == nil {
 		return
@@ -121,13 +125,9 @@
 		k.owner.logger.Warnf("Link to node %s is silent for %s.", k.member.Name, quiet)
 		s.close()
 	}
-	switch {
-	case now.Sub(k.told) >= newsInterval, k.fansCount != k.owner.fansCount:
-		k.told, k.loaded, k.fansCount = now, now, k.owner.fansCount
+	if now.Sub(k.told) >= newsInterval {
+		k.told = now
 		s.put(k.owner.news())
-	case now.Sub(k.loaded) >= loadDue:
-		k.loaded = now
-		s.put(k.owner.load())
 	}
 }
 
@@ -135,6 +135,7 @@
 func (k *link) dial(ctx context.Context) (stood bool) {
 	socket, err := dialer.New(dialTimeout).DialContext(ctx, "tcp4", k.member.Address)
 	if err != nil {
+		k.downs.Add(1)
 		return false
 	}
 	conn := drpcconn.NewWithOptions(socket, drpcconn.Options{Manager: managerOptions()})
@@ -156,6 +157,8 @@
 // down ends what waits on a session.
 func (k *link) down(s *session) {
 	k.current.CompareAndSwap(s, nil)
+	k.owner.version.Add(1)
+	k.downs.Add(1)
 	k.owner.Lost.Add(1)
 	unsent := s.close()
 	k.mu.Lock()
@@ -182,6 +185,13 @@
 	delete(k.pending, number)
 }
 
+// idle reports whether no answer is due.
+func (k *link) idle() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.pending) == 0
+}
+
 // keep redials until ctx ends.
 func (k *link) keep(ctx context.Context) {
 	pause := firstRedial
@@ -236,6 +246,7 @@
 // start keeps the link until ctx ends or stop. It returns at once.
 func (k *link) start(ctx context.Context) {
 	ctx, k.cancel = context.WithCancel(ctx)
+	k.downs.Store(0)
 	k.owner.running.Go(func() { k.keep(ctx) })
 }
 
@@ -249,7 +260,10 @@
 // take takes a frame of the other node.
 func (k *link) take(s *session, f *framer.Frame) {
 	if f.GetNews() != nil {
-		k.owner.takeNews(s, f.GetNews(), false)
+		k.owner.takeNews(s, f.GetNews(), f.GetNews().GetName() == k.member.Name)
+	}
+	if f.GetLoad() != nil {
+		k.closed.Store(f.GetLoad().GetClosed())
 	}
 	k.owner.takeFacts(s, k.member, f)
 	if f.GetReply() != nil || f.GetRefusal() != nil || f.GetData() != nil || f.GetGrant() != 0 {
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -1,14 +1,13 @@
-// Package linker keeps one drpc stream to each other node. Calls, their
-// answers, loads, configurations and tokens of customers' rates go over it as
-// frames; what waits to be sent at one moment goes out together.
+// Package linker keeps one drpc stream to each of the other nodes that this one
+// sends calls to. Calls, their answers, loads, configurations and tokens of
+// customers' rates go over it as frames; what waits to be sent at one moment goes
+// out together. A node tells its load to those that have set a link up to it.
 package linker
 
 import (
 	"context"
-	"maps"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,14 +23,14 @@
 const (
 	// checkInterval is how often links are looked after.
 	checkInterval = 250 * time.Millisecond
-	// loadInterval is how often nodes tell each other their loads when
-	// nothing else does, but not more often than calmPerLink for every link,
-	// which bounds what that costs in large deployments.
+	// loadInterval is how often a node tells its load when nothing else does,
+	// but not more often than calmPerLink for every node that hears it, which
+	// bounds what that costs in large deployments.
 	loadInterval = 1500 * time.Millisecond
 	calmPerLink  = 9 * time.Millisecond
 	// pressed is the offered work, in parts of what a backend server bears,
 	// from which on its load is told more often: each pressedPerLink for every
-	// link.
+	// node that hears it.
 	pressed        = 0.7
 	pressedPerLink = 3 * time.Millisecond
 	// pressedTime is for how long after that the load is still told more often.
@@ -45,6 +44,10 @@
 	lastRedial  = 2 * time.Second
 	// replyMargin is how long after a call's deadline its answer may come.
 	replyMargin = 40 * time.Millisecond
+	// linger is for how long a link is kept that is not wanted any more.
+	linger = 10 * time.Second
+	// chooseInterval is the least time between two choices of the links to keep.
+	chooseInterval = 50 * time.Millisecond
 )
 
 type (
@@ -86,9 +89,26 @@
 		// running are the goroutines of links and of connections.
 		running sync.WaitGroup
 
-		mu    sync.Mutex
-		ctx   context.Context
+		// version counts the changes of the members and of the links.
+		version atomic.Uint64
+		// wake is told that the members have changed.
+		wake chan struct{}
+
+		mu  sync.Mutex
+		ctx context.Context
+		// links has one link for each member, kept or not.
 		links map[string]*link
+		// served are the sessions that other nodes have set up.
+		served map[*runs]struct{}
+		// orders are the members by service in the order in which links to them
+		// are wanted, as of the change ordersOf of the members.
+		orders   map[string][]string
+		ordersOf uint64
+		chosen   time.Time
+		// rumors are the changes of the members that other nodes are still told.
+		rumors []rumor
+		// informed says that all members have been told to this node once.
+		informed bool
 		// gone are the incarnations that have left for good: others may still
 		// tell of them.
 		gone map[string]struct{}
@@ -128,15 +148,22 @@
 		handlers: h,
 		logger:   l,
 		self:     self,
+		wake:     make(chan struct{}, 1),
 		links:    map[string]*link{},
+		served:   map[*runs]struct{}{},
 		gone:     map[string]struct{}{},
 	}
 }
 
-// Announce tells all nodes at once the load and the revision of the state that
-// the node acts on.
+// Announce tells at once the load and the revision of the state that the node acts
+// on.
 func (l *Linker) Announce() {
-	l.broadcast(l.load())
+	f := l.load()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for r := range l.served {
+		r.session.put(f)
+	}
 }
 
 // Ask asks a node for tokens of a customer's rate, in thousandths.
@@ -148,80 +175,13 @@
 	return k.ask(ctx, customer, tokens)
 }
 
-// Changed returns a number that grows with each change of the members.
-func (l *Linker) Changed() uint64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.changed
-}
-
-// Forget drops a member that is gone for good.
-func (l *Linker) Forget(m Member) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.gone[m.Incarnation] = struct{}{}
-	if k := l.links[m.Name]; k != nil && k.member.Incarnation == m.Incarnation {
-		l.logger.Infof("Forgets node %s, incarnation %s.", m.Name, m.Incarnation)
-		l.changed++
-		delete(l.links, m.Name)
-		k.stop()
-	}
-}
-
-// Leave tells all nodes that this one leaves for good.
-func (l *Linker) Leave() {
-	f := l.currentNews()
-	f.News.Gone = true
-	l.broadcast(f)
-}
-
-// Meet learns of a member. One that is known under another address or
-// incarnation is replaced when certain is set.
-func (l *Linker) Meet(m Member, certain bool) {
-	if m.Name == l.self.Name || m.Name == "" || m.Address == "" {
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if _, gone := l.gone[m.Incarnation]; gone {
-		return
-	}
-	known := l.links[m.Name]
-	if known != nil && (known.member == m || !certain) {
-		return
-	}
-	if known != nil {
-		known.stop()
-	}
-	l.logger.Infof("Meets node %s, incarnation %s, service %s, failure domain %s.", m.Name, m.Incarnation, m.Service, m.Domain)
-	l.changed++
-	k := newLink(l, m)
-	l.links[m.Name] = k
-	if l.ctx != nil && l.ctx.Err() == nil {
-		k.start(l.ctx)
-	}
-}
-
-// Members returns the other members, in order of their names.
-func (l *Linker) Members() []Member {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	list := make([]Member, 0, len(l.links))
-	for _, name := range slices.Sorted(maps.Keys(l.links)) {
-		list = append(list, l.links[name].member)
-	}
-	return list
-}
-
 // Run keeps the links until ctx ends, and returns once all have ended.
 func (l *Linker) Run(ctx context.Context) error {
 	defer l.running.Wait()
 	l.mu.Lock()
 	l.ctx = ctx
-	for _, k := range l.links {
-		k.start(ctx)
-	}
 	l.mu.Unlock()
+	l.choose()
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for {
@@ -229,10 +189,17 @@
 		case <-ctx.Done():
 			l.end()
 			return nil
+		case <-l.wake:
+			// Members mostly change together.
+			timekeeper.Sleep(ctx, l.chosen.Add(chooseInterval).Sub(l.clock.Now()))
+			l.choose()
+			continue
 		case <-ticker.C:
 		}
+		l.choose()
 		l.catchUp()
 		l.check()
+		l.spread()
 	}
 }
 
@@ -251,7 +218,7 @@
 	return serve(ctx, l, listener)
 }
 
-// Up reports whether the link to a node stands.
+// Up reports whether a link to a node stands.
 func (l *Linker) Up(name string) bool {
 	k := l.link(name)
 	return k != nil && k.current.Load() != nil
@@ -275,7 +242,10 @@
 	now := l.clock.Now()
 	due := l.dueInterval(now)
 	for _, k := range l.links {
-		k.check(now, due)
+		k.check(now)
+	}
+	for r := range l.served {
+		l.tellLoad(r, now, due)
 	}
 }
 
--- a/internal/linker/news.go
+++ b/internal/linker/news.go
@@ -5,8 +5,6 @@
 	"math"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/framer"
 )
@@ -14,6 +12,9 @@
 const (
 	// newsInterval is how often nodes tell each other what seldom changes.
 	newsInterval = 15 * time.Second
+	// firstNews is how long after the start of a link the first news follow, by
+	// when all members are mostly known.
+	firstNews = 2 * time.Second
 	// fansInterval is how often changes of the fans are told at most, and
 	// fansChange and leastFansChange what counts as a change, in parts of the
 	// calls of a run and in calls.
@@ -36,17 +37,6 @@
 	near bool
 }
 
-// broadcast sends a frame to all nodes.
-func (l *Linker) broadcast(f *framer.Frame) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, k := range l.links {
-		if s := k.current.Load(); s != nil {
-			s.put(f)
-		}
-	}
-}
-
 // catchUp asks a node that acts on a newer state for it. Most changes reach every
 // node by its own source of configurations first, so nodes don't send states
 // unasked.
@@ -60,7 +50,7 @@
 	l.ahead = ahead{}
 }
 
-// currentNews returns what the node tells about itself.
+// currentNews returns what the node tells about itself to those that it links to.
 func (l *Linker) currentNews() *framer.Frame {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -72,7 +62,7 @@
 // no more, as they decide by that what begins. The caller holds the lock.
 func (l *Linker) dueInterval(now time.Time) time.Duration {
 	load := l.handlers.Load()
-	links := time.Duration(len(l.links))
+	links := time.Duration(len(l.served))
 	if !load.Closed && load.Offered >= pressed*load.Bears {
 		l.pressed = now
 	}
@@ -87,43 +77,37 @@
 	return &framer.Frame{Load: fromLoad(l.handlers.Load()), Revision: l.handlers.State().Revision}
 }
 
-// membersDigest returns a digest of the members, this node included, by which
-// nodes find out that they know different ones. The caller holds the lock.
-func (l *Linker) membersDigest() uint64 {
-	if l.digest != 0 && l.digestOf == l.changed {
-		return l.digest
-	}
-	l.digestOf = l.changed
-	l.digest = xxh3.HashString(l.self.Name + " " + l.self.Incarnation)
-	for _, k := range l.links {
-		l.digest ^= xxh3.HashString(k.member.Name + " " + k.member.Incarnation)
+// news returns what the node tells about itself to those that it links to. The
+// caller holds the lock.
+func (l *Linker) news() *framer.Frame {
+	return &framer.Frame{
+		News: &framer.News{
+			Name:        l.self.Name,
+			Incarnation: l.self.Incarnation,
+			Address:     l.self.Address,
+			Service:     l.self.Service,
+			Domain:      l.self.Domain,
+			Members:     l.membersDigest(),
+		},
+		Revision: l.handlers.State().Revision,
 	}
-	return l.digest
 }
 
-// news returns what the node tells about itself. The caller holds the lock.
-func (l *Linker) news() *framer.Frame {
-	n := &framer.News{
-		Name:        l.self.Name,
-		Incarnation: l.self.Incarnation,
-		Address:     l.self.Address,
-		Service:     l.self.Service,
-		Domain:      l.self.Domain,
-		Members:     l.membersDigest(),
-	}
+// fullNews returns what the node tells about itself to those that link to it. The
+// caller holds the lock.
+func (l *Linker) fullNews() *framer.Frame {
+	f := l.news()
+	f.Load = l.load().Load
 	for route, fans := range l.fans {
-		n.Fans = append(n.Fans, fromFans(route, fans))
+		f.News.Fans = append(f.News.Fans, fromFans(route, fans))
 	}
-	f := l.load()
-	f.News = n
 	return f
 }
 
 // peers returns the members, for news. The caller holds the lock.
 func (l *Linker) peers() (list []*framer.Peer) {
 	for _, k := range l.links {
-		m := k.member
-		list = append(list, &framer.Peer{Name: m.Name, Incarnation: m.Incarnation, Address: m.Address, Service: m.Service, Domain: m.Domain})
+		list = append(list, fromMember(k.member))
 	}
 	return list
 }
@@ -148,29 +132,40 @@
 	}
 }
 
-// takeNews takes what another node tells about itself. direct says that the
-// node set this session up.
+// takeNews takes what another node tells about itself and of other members. direct
+// says that the node itself is at the other end of the session.
 func (l *Linker) takeNews(s *session, n *framer.News, direct bool) {
+	if n.GetName() == "" {
+		l.takePeers(n.GetPeers(), true)
+		return
+	}
 	m := toMember(n)
 	if n.GetGone() {
 		l.Forget(m)
 		return
 	}
 	l.Meet(m, direct)
-	for _, p := range n.GetPeers() {
-		l.Meet(Member{Name: p.GetName(), Incarnation: p.GetIncarnation(), Address: p.GetAddress(), Service: p.GetService(), Domain: p.GetDomain()}, false)
+	l.takePeers(n.GetPeers(), false)
+	if len(n.GetFans()) > 0 {
+		l.handlers.TakeFans(m, toFans(n.GetFans()))
 	}
-	l.handlers.TakeFans(m, toFans(n.GetFans()))
-	l.compareMembers(s, n.GetMembers())
+	l.compareMembers(s, n)
 }
 
 // compareMembers asks for the members that another node knows when it knows
 // others than this one.
-func (l *Linker) compareMembers(s *session, digest uint64) {
+func (l *Linker) compareMembers(s *session, n *framer.News) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(n.GetPeers()) > 0 {
+		l.informed = true
+	}
 	now := l.clock.Now()
-	if digest == l.membersDigest() || now.Sub(l.peersWanted) < peersInterval {
+	switch {
+	case n.GetMembers() == l.membersDigest(), now.Sub(l.peersWanted) < peersInterval:
+		return
+	case l.informed && now.Sub(s.begun) < firstNews/2:
+		// What differs now is mostly still on its way.
 		return
 	}
 	l.peersWanted = now
@@ -252,6 +247,15 @@
 	return false
 }
 
-func toMember(n *framer.News) Member {
-	return Member{Name: n.GetName(), Incarnation: n.GetIncarnation(), Address: n.GetAddress(), Service: n.GetService(), Domain: n.GetDomain()}
+// tellLoad tells a node that links to this one the news and the load when they are
+// due, the load after loadDue. The caller holds the lock.
+func (l *Linker) tellLoad(r *runs, now time.Time, loadDue time.Duration) {
+	switch {
+	case now.Sub(r.told) >= newsInterval, r.fansCount != l.fansCount:
+		r.told, r.loaded, r.fansCount = now, now, l.fansCount
+		r.session.put(l.fullNews())
+	case now.Sub(r.loaded) >= loadDue:
+		r.loaded = now
+		r.session.put(l.load())
+	}
 }
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -32,6 +32,11 @@
 		ctx     context.Context
 		running sync.WaitGroup
 
+		// told is when news were last sent, loaded when at least the load was, and
+		// fansCount the linker's when news were. The linker's lock guards them.
+		told, loaded time.Time
+		fansCount    uint64
+
 		mu sync.Mutex
 		// member is the other node, once it has told its name.
 		member  Member
@@ -85,20 +90,40 @@
 	go s.write()
 	s.read(r.take)
 	s.close()
+	t.linker.unserve(r)
 	cancel()
 	r.running.Wait()
 	return nil
 }
 
+// serve tells the news to a node that has set a session up, and from then on what
+// changes.
+func (l *Linker) serve(r *runs) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	r.told, r.loaded, r.fansCount = now.Add(firstNews-newsInterval), now, l.fansCount
+	l.served[r] = struct{}{}
+	r.session.put(l.fullNews())
+}
+
+func (l *Linker) unserve(r *runs) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.served, r)
+}
+
 // take takes a frame of the other node.
 func (r *runs) take(f *framer.Frame) {
 	l := r.taker.linker
-	first := r.member.Name == ""
 	if f.GetNews() != nil {
-		r.member = toMember(f.GetNews())
+		first := r.member.Name == ""
+		if first {
+			r.member = toMember(f.GetNews())
+		}
 		l.takeNews(r.session, f.GetNews(), true)
 		if first {
-			r.session.put(l.currentNews())
+			l.serve(r)
 		}
 	}
 	l.takeFacts(r.session, r.member, f)
--- /dev/null
+++ b/internal/selector/selector_test.go
@@ -0,0 +1,155 @@
+package selector
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/flamingotack/flamingotack/internal/seeder"
+)
+
+func TestMain(m *testing.M) {
+	seeder.Run(m)
+}
+
+// fleet returns nodes of services of the given sizes, spread over failure domains.
+func fleet(domains int, services ...int) (nodes []Node) {
+	for s, count := range services {
+		for i := range count {
+			nodes = append(nodes, Node{
+				Name:    fmt.Sprintf("node-%d-%d", s, i),
+				Service: fmt.Sprint("s", s),
+				Domain:  fmt.Sprint("d", (i+s)%domains),
+			})
+		}
+	}
+	return nodes
+}
+
+// TestSmallFleetsLinkToAll checks that the bound means nothing where few servers
+// offer a service.
+func TestSmallFleetsLinkToAll(t *testing.T) {
+	nodes := fleet(4, Linked, 4, 3, 1)
+	for _, n := range nodes {
+		total := 0
+		for _, order := range Orders(n, nodes) {
+			total += min(Linked, len(order))
+		}
+		if total != len(nodes) {
+			t.Errorf("node %s: got links to %d nodes, want all %d", n.Name, total, len(nodes))
+		}
+	}
+}
+
+// TestHundredsOfNodes is the size of a deployment of hundreds of instances: the
+// number of links does not follow it, every server has about as many callers as the
+// others of its service and failure domain, and each node has servers near and in
+// other failure domains.
+func TestHundredsOfNodes(t *testing.T) {
+	tests := []struct {
+		name     string
+		domains  int
+		services []int
+		// links is the number of links that a node may set up.
+		links int
+	}{
+		{"302 nodes, 4 services, 5 domains", 5, []int{132, 79, 25, 66}, 4 * Linked},
+		{"420 nodes, 11 services, 10 domains", 10, []int{60, 60, 50, 50, 40, 40, 40, 30, 20, 20, 10}, 11 * Linked},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			nodes := fleet(tt.domains, tt.services...)
+			byName := map[string]Node{}
+			for _, n := range nodes {
+				byName[n.Name] = n
+			}
+			near, far := map[string]int{}, map[string]int{}
+			for _, n := range nodes {
+				links := 0
+				for _, order := range Orders(n, nodes) {
+					own := 0
+					for _, name := range order[:min(Linked, len(order))] {
+						links++
+						if byName[name].Domain == n.Domain {
+							own++
+							near[name]++
+						} else {
+							far[name]++
+						}
+					}
+					if own == 0 || own == min(Linked, len(order)) {
+						t.Errorf("node %s: got %d of %d servers in the own failure domain, want some and not all", n.Name, own, len(order))
+					}
+				}
+				if links > tt.links {
+					t.Errorf("node %s: got %d links, want at most %d", n.Name, links, tt.links)
+				}
+			}
+			most, least := map[string]int{}, map[string]int{}
+			for _, n := range nodes {
+				callers := near[n.Name] + far[n.Name]
+				kind := n.Service + n.Domain
+				most[kind] = max(most[kind], callers)
+				if known, found := least[kind]; !found || callers < known {
+					least[kind] = callers
+				}
+			}
+			for kind := range most {
+				if most[kind] > 2*least[kind] {
+					t.Errorf("%s: got servers with %d and with %d callers, want at most twice as many", kind, least[kind], most[kind])
+				}
+			}
+		})
+	}
+}
+
+// TestOrdersHoldEachNodeOnce checks that an order leaves out nobody, so that a node
+// that can use few servers finds all others in the end.
+func TestOrdersHoldEachNodeOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var nodes []Node
+		for i := range rapid.IntRange(1, 60).Draw(t, "nodes") {
+			nodes = append(nodes, Node{
+				Name:    fmt.Sprint("n", i),
+				Service: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "service"),
+				Domain:  rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "domain"),
+			})
+		}
+		self := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "self")]
+		var got, want []string
+		for _, order := range Orders(self, nodes) {
+			got = append(got, order...)
+		}
+		for _, n := range nodes {
+			want = append(want, n.Name)
+		}
+		slices.Sort(got)
+		slices.Sort(want)
+		if !slices.Equal(got, want) {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+	})
+}
+
+// TestOneMoreNodeChangesFewLinks lets a node join: the others keep most links.
+func TestOneMoreNodeChangesFewLinks(t *testing.T) {
+	nodes := fleet(5, 132, 79, 25, 66)
+	joined := append(slices.Clone(nodes), Node{Name: "late", Service: "s1", Domain: "d2"})
+	changed, links := 0, 0
+	for _, n := range nodes {
+		before, after := Orders(n, nodes), Orders(n, joined)
+		for service, order := range after {
+			for _, name := range order[:min(Linked, len(order))] {
+				links++
+				if !slices.Contains(before[service][:min(Linked, len(before[service]))], name) {
+					changed++
+				}
+			}
+		}
+	}
+	if got, want := float64(changed)/float64(links), 0.1; got > want {
+		t.Errorf("got %.3f of all links changed by one more node, want at most %.2f", got, want)
+	}
+}
