Let a few nodes of each failure domain act for all

Cause: at 302 nodes an equal part of a customer's rate is a sixth of a request, and from 96 nodes on a node's part of the retry budget is below one, so nothing was repeated; every change of the configuration ended one read of the store for each node. Ruled out: holders of each customer over all nodes (links from everybody to everybody); longer gifts (they are saved up and break the limit). Change: delegates, the first nodes of each failure domain on a common ring, hold the rates and the slack of the retry budget, and follow the store; others ask them. What requests earn stays with their ingress and fades in 2.5 s.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -42,16 +42,25 @@
 	// Directory is where operators publish configurations and nodes find each
 	// other.
 	Directory interface {
+		// Answers reports whether the last read of the states was answered.
+		Answers() bool
 		// Follow hands each new state to take, until ctx ends. Any number of
-		// states may be missed; revisions only grow. nodes returns the number of
-		// nodes that follow.
-		Follow(ctx context.Context, nodes func() int, take func(director.State)) error
+		// states may be missed; revisions only grow.
+		Follow(ctx context.Context, f Followers, take func(director.State)) error
 		// Join makes the node known and returns the members.
 		Join(ctx context.Context, self linker.Member) ([]linker.Member, error)
 		// Leave says that the node leaves for good.
 		Leave(ctx context.Context, self linker.Member) error
 	}
 
+	// Followers are the nodes that follow the directory.
+	Followers interface {
+		// Count returns their number.
+		Count() int
+		// Suffice reports whether this node hears what is new from others.
+		Suffice() bool
+	}
+
 	// Node is one node. Make it by New.
 	Node struct {
 		settings Settings
@@ -76,6 +85,11 @@
 		peers    net.Listener
 	}
 
+	// followers are the delegates among the nodes.
+	followers struct {
+		linker *linker.Linker
+	}
+
 	// Settings are those of a node.
 	Settings struct {
 		// Name is unique among the nodes.
@@ -97,20 +111,14 @@
 		Logger *logger.Part
 		// Meter counts what the node does.
 		Meter *meter.Meter
-		// RepeatRatio and RepeatSlack bound the repeats of all nodes in 10 s:
-		// a part of the requests, and a number besides.
-		RepeatRatio, RepeatSlack float64
+		// RepeatRatio is the part of the requests that all nodes may repeat.
+		RepeatRatio float64
 		// Sockets is the number of sockets that the node may have; 0 sets no bound.
 		Sockets int
-		// Slack is how far customers may go above their rates.
+		// Slack is how far customers may go above their rates, and nodes above the
+		// repeats that requests earn.
 		Slack admitter.Slack
 	}
-
-	// lenders are the other nodes as seen by the customers' rates.
-	lenders struct {
-		*linker.Linker
-		forwarder *forwarder.Forwarder
-	}
 )
 
 // New returns a node that listens on its addresses.
@@ -180,7 +188,7 @@
 	}
 	actor(n.guardian.Run)
 	actor(n.linker.Run)
-	actor(func(c context.Context) error { return n.settings.Directory.Follow(c, n.forwarder.Nodes, n.take) })
+	actor(func(c context.Context) error { return n.settings.Directory.Follow(c, followers{n.linker}, n.take) })
 	actor(n.join)
 	actor(n.announcements)
 	g.Add(func() error { return n.acceptor.Serve(n.listener) }, func(error) {
@@ -210,8 +218,11 @@
 		Table:   n.table.Load,
 	})
 	n.linker = linker.New(n.self, clock, s.Logger.Part("linker"), linker.Handlers{
-		Fans:      n.fans.Fans,
-		Grant:     func(customer string, tokens int64) int64 { return n.shares.Give(customer, tokens) },
+		Fans:    n.fans.Fans,
+		Follows: s.Directory.Answers,
+		Grant: func(ctx context.Context, customer string, tokens int64, held bool) int64 {
+			return n.shares.Give(ctx, customer, tokens, held)
+		},
 		Load:      n.guardian.Load,
 		Run:       n.guardian,
 		State:     func() director.State { return n.table.Load().State },
@@ -226,11 +237,11 @@
 		Local:       n.guardian,
 		Logger:      s.Logger.Part("forwarder"),
 		RepeatRatio: s.RepeatRatio,
-		RepeatSlack: s.RepeatSlack,
+		Repeat:      func(ctx context.Context, cost map[string]float64) bool { return n.shares.Repeat(ctx, cost) },
 		Self:        n.self,
 		Table:       n.table.Load,
 	}, s.Region)
-	n.shares = admitter.NewShares(clock, lenders{n.linker, n.forwarder}, s.Slack)
+	n.shares = admitter.NewShares(clock, n.linker, s.Slack)
 	n.admitter = admitter.New(admitter.Settings{
 		Clock:     clock,
 		Called:    n.fans.Called,
@@ -310,6 +321,9 @@
 	n.settings.Logger.Infof("Revision %d is in force: configuration %d, out of service %v.", s.Revision, s.Version(), s.Evacuated)
 	n.guardian.Refresh()
 	n.shares.Set(n.table.Load())
+	if n.linker.Delegates().Self {
+		n.wake()
+	}
 }
 
 func (n *Node) wake() {
@@ -319,19 +333,14 @@
 	}
 }
 
-// Names returns the nodes that can be asked for tokens.
-func (l lenders) Names() (names []string) {
-	for _, m := range l.Members() {
-		if l.Up(m.Name) {
-			names = append(names, m.Name)
-		}
-	}
-	return names
+// Count returns the number of nodes that follow the directory.
+func (f followers) Count() int {
+	return f.linker.Delegates().Count
 }
 
-// Nodes returns the number of all nodes.
-func (l lenders) Nodes() int {
-	return l.forwarder.Nodes()
+// Suffice reports whether this node hears what is new from other nodes.
+func (f followers) Suffice() bool {
+	return f.linker.Followed()
 }
 
 // listen listens without the keepalive options that each accepted connection
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -102,8 +102,11 @@
 		Local exchanger.CallHandler
 		// Logger takes the decisions.
 		Logger *logger.Part
-		// RepeatRatio and RepeatSlack bound the repeats of all nodes.
-		RepeatRatio, RepeatSlack float64
+		// RepeatRatio is the number of repeats that a request earns, and Repeat
+		// takes the cost of repeats, in requests by service, from what all nodes
+		// may repeat besides.
+		RepeatRatio float64
+		Repeat      func(ctx context.Context, cost map[string]float64) (allowed bool)
 		// Self is the node.
 		Self linker.Member
 		// Table returns the configuration in force.
@@ -117,7 +120,7 @@
 		Settings:  s,
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		router:    router.Router{Domain: s.Self.Domain, Region: region, Spill: spill},
-		allowance: retrier.Allowance{Ratio: s.RepeatRatio, Slack: s.RepeatSlack},
+		allowance: retrier.Allowance{Ratio: s.RepeatRatio},
 		fans:      map[string]map[string]linker.Fans{},
 		trees:     map[branch]map[branch]need{},
 		loads:     map[string]loadReport{},
@@ -261,22 +264,34 @@
 
 // spend takes the cost of a repeat of the call, and of the calls that it makes
 // in turn, from what is allowed.
-func (f *Forwarder) spend(c *exchanger.Call) bool {
+func (f *Forwarder) spend(ctx context.Context, c *exchanger.Call) bool {
+	cost, lacking := f.spendEarned(c)
+	if len(lacking) == 0 || f.Repeat(ctx, lacking) {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.allowance.Refund(f.Clock.Now(), cost, lacking)
+	return false
+}
+
+// spendEarned takes the cost of a repeat from what requests at this node have earned,
+// and returns what that lacks.
+func (f *Forwarder) spendEarned(c *exchanger.Call) (cost, lacking map[string]float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	cost := map[string]float64{}
+	cost = map[string]float64{}
 	for b, n := range f.tree(c.Route, c.Service) {
 		cost[b.service] += n.calls
 	}
-	return f.allowance.Spend(f.Clock.Now(), cost, len(f.members))
+	return cost, f.allowance.Spend(f.Clock.Now(), cost)
 }
 
 // Earn counts a request of a caller for a service.
 func (f *Forwarder) Earn(service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.refresh()
-	f.allowance.Earn(f.Clock.Now(), service, len(f.members))
+	f.allowance.Earn(f.Clock.Now(), service)
 }
 
 // spread returns a random time from least to twice that, so that callers do not
--- a/internal/forwarder/trip.go
+++ b/internal/forwarder/trip.go
@@ -65,7 +65,7 @@
 		}
 		t.attempts--
 		broken := r.Reason == exchanger.ReasonBroken || r.Reason == exchanger.ReasonSilent
-		return broken && t.call.Repeatable && t.attempts > 0 && t.forwarder.spend(t.call)
+		return broken && t.call.Repeatable && t.attempts > 0 && t.forwarder.spend(ctx, t.call)
 	}
 	if turnedAway(r) {
 		t.closed++
@@ -76,7 +76,7 @@
 		t.call.Moved = true
 		if r.Reason == exchanger.ReasonServerFull {
 			t.attempts--
-			return t.full <= maxFull && t.attempts > 0 && t.forwarder.spend(t.call)
+			return t.full <= maxFull && t.attempts > 0 && t.forwarder.spend(ctx, t.call)
 		}
 		return t.full <= maxFull
 	}
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -30,9 +30,10 @@
 		// up, since the link was started.
 		downs atomic.Int64
 
-		// wanted says that the last choice wanted the link, lastWanted when one
-		// last did, started when the link was started, zero while it is not kept,
-		// and chosen that it is kept. The owner's lock guards them.
+		// wanted says that the last choice wanted the link, chosen that calls may
+		// be sent over it, lastWanted when a choice last wanted it, and started
+		// when it was started, zero while it is not kept. The owner's lock guards
+		// them.
 		wanted, chosen      bool
 		lastWanted, started time.Time
 
@@ -40,8 +41,9 @@
 		pending map[uint64]*pending
 		number  uint64
 		pinged  time.Time
-		// told is when news were last sent.
-		told time.Time
+		// told is when news were last sent, and followed when the node last told
+		// that the directory answers it.
+		told, followed time.Time
 	}
 
 	// pending is an exchange whose answer is due.
@@ -65,13 +67,13 @@
 	return &link{owner: l, member: m, cancel: func() {}, pending: map[uint64]*pending{}}
 }
 
-func (k *link) ask(ctx context.Context, customer string, tokens int64) (granted int64) {
+func (k *link) ask(ctx context.Context, a *framer.Ask) (granted int64) {
 	number, p := k.begin()
 	if p == nil {
 		return 0
 	}
 	defer k.end(number)
-	p.session.put(&framer.Frame{Number: number, Ask: &framer.Ask{Customer: customer, Tokens: tokens}})
+	p.session.put(&framer.Frame{Number: number, Ask: a})
 	select {
 	case r := <-p.done:
 		return r.granted
@@ -185,6 +187,24 @@
 	delete(k.pending, number)
 }
 
+// follows reports whether the node can be reached and has told within followLife that
+// the directory answers it.
+func (k *link) follows(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.current.Load() != nil && now.Sub(k.followed) < followLife
+}
+
+// hear takes whether the directory answers the node.
+func (k *link) hear(follows bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.followed = time.Time{}
+	if follows {
+		k.followed = k.owner.clock.Now()
+	}
+}
+
 // idle reports whether no answer is due.
 func (k *link) idle() bool {
 	k.mu.Lock()
@@ -265,6 +285,9 @@
 	if f.GetLoad() != nil {
 		k.closed.Store(f.GetLoad().GetClosed())
 	}
+	if f.GetRevision() > 0 {
+		k.hear(f.GetFollows())
+	}
 	k.owner.takeFacts(s, k.member, f)
 	if f.GetReply() != nil || f.GetRefusal() != nil || f.GetData() != nil || f.GetGrant() != 0 {
 		k.settle(f)
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -17,6 +17,7 @@
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/guardian"
 	"github.com/flamingotack/flamingotack/internal/logger"
+	"github.com/flamingotack/flamingotack/internal/selector"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
 
@@ -59,8 +60,11 @@
 		// Fans returns what the node tells of its backend server's calls, by
 		// the route of the runs that make them.
 		Fans func() map[string]Fans
-		// Grant gives away tokens of a customer's rate, in thousandths.
-		Grant func(customer string, tokens int64) (granted int64)
+		// Follows reports whether the directory answers this node.
+		Follows func() bool
+		// Grant gives away tokens of a customer's rate, in thousandths. held says
+		// that it shall borrow none.
+		Grant func(ctx context.Context, customer string, tokens int64, held bool) (granted int64)
 		// Load returns what the node tells about its backend server.
 		Load func() guardian.Load
 		// Run runs the calls of other nodes.
@@ -91,6 +95,10 @@
 
 		// version counts the changes of the members and of the links.
 		version atomic.Uint64
+		// found are the delegates that were found last.
+		found atomic.Pointer[delegatesAt]
+		// encoded is the state that was sent last.
+		encoded atomic.Pointer[encodedState]
 		// wake is told that the members have changed.
 		wake chan struct{}
 
@@ -101,10 +109,12 @@
 		// served are the sessions that other nodes have set up.
 		served map[*runs]struct{}
 		// orders are the members by service in the order in which links to them
-		// are wanted, as of the change ordersOf of the members.
-		orders   map[string][]string
-		ordersOf uint64
-		chosen   time.Time
+		// are wanted, and delegates who acts for all, as of the change ordersOf of the
+		// members.
+		orders    map[string][]string
+		ordersOf  uint64
+		chosen    time.Time
+		delegates selector.Delegates
 		// rumors are the changes of the members that other nodes are still told.
 		rumors []rumor
 		// informed says that all members have been told to this node once.
@@ -166,15 +176,6 @@
 	}
 }
 
-// Ask asks a node for tokens of a customer's rate, in thousandths.
-func (l *Linker) Ask(ctx context.Context, name, customer string, tokens int64) (granted int64) {
-	k := l.link(name)
-	if k == nil {
-		return 0
-	}
-	return k.ask(ctx, customer, tokens)
-}
-
 // Run keeps the links until ctx ends, and returns once all have ended.
 func (l *Linker) Run(ctx context.Context) error {
 	defer l.running.Wait()
--- a/internal/linker/news.go
+++ b/internal/linker/news.go
@@ -37,6 +37,12 @@
 	near bool
 }
 
+// encodedState is a state as it is sent to nodes that want it.
+type encodedState struct {
+	revision uint64
+	data     []byte
+}
+
 // catchUp asks a node that acts on a newer state for it. Most changes reach every
 // node by its own source of configurations first, so nodes don't send states
 // unasked.
@@ -74,7 +80,11 @@
 
 // load returns what the node tells of its load.
 func (l *Linker) load() *framer.Frame {
-	return &framer.Frame{Load: fromLoad(l.handlers.Load()), Revision: l.handlers.State().Revision}
+	return &framer.Frame{
+		Load:     fromLoad(l.handlers.Load()),
+		Revision: l.handlers.State().Revision,
+		Follows:  l.handlers.Follows(),
+	}
 }
 
 // news returns what the node tells about itself to those that it links to. The
@@ -90,6 +100,7 @@
 			Members:     l.membersDigest(),
 		},
 		Revision: l.handlers.State().Revision,
+		Follows:  l.handlers.Follows(),
 	}
 }
 
@@ -196,12 +207,17 @@
 
 // tell sends a configuration to a node that wants it.
 func (l *Linker) tell(s *session, state director.State) {
-	data, err := json.Marshal(state)
-	if err != nil {
-		l.logger.Errorf("Can't encode revision %d: %v.", state.Revision, err)
-		return
+	known := l.encoded.Load()
+	if known == nil || known.revision != state.Revision {
+		data, err := json.Marshal(state)
+		if err != nil {
+			l.logger.Errorf("Can't encode revision %d: %v.", state.Revision, err)
+			return
+		}
+		known = &encodedState{revision: state.Revision, data: data}
+		l.encoded.Store(known)
 	}
-	s.put(&framer.Frame{State: data})
+	s.put(&framer.Frame{State: known.data})
 }
 
 // tellPeers sends the members to a node that wants them.
--- a/internal/linker/news_test.go
+++ b/internal/linker/news_test.go
@@ -159,9 +159,10 @@
 	asked := make(chan int, 1)
 	var n *Linker
 	n = New(Member{Name: "a", Incarnation: "a-1", Address: "127.0.0.1:1"}, timekeeper.System{}, logger.New(t.Output(), "info", "a"), Handlers{
-		Fans:  func() map[string]Fans { return map[string]Fans{"r": {Runs: 50}} },
-		Load:  func() guardian.Load { return guardian.Load{} },
-		State: func() director.State { return director.State{} },
+		Fans:    func() map[string]Fans { return map[string]Fans{"r": {Runs: 50}} },
+		Follows: func() bool { return false },
+		Load:    func() guardian.Load { return guardian.Load{} },
+		State:   func() director.State { return director.State{} },
 		TakeFans: func(Member, map[string]Fans) {
 			members := make(chan int, 1)
 			go func() { members <- len(n.Members()) }()
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -132,13 +132,21 @@
 		r.begin(f)
 	case f.GetCancel():
 		r.cancel(f.GetNumber())
+	case f.GetAsk().GetHeld():
+		r.grant(f)
 	case f.GetAsk() != nil:
-		granted := l.handlers.Grant(f.GetAsk().GetCustomer(), f.GetAsk().GetTokens())
-		if granted <= 0 {
-			granted = -1
-		}
-		r.session.put(&framer.Frame{Number: f.GetNumber(), Grant: granted})
+		r.running.Go(func() { r.grant(f) })
+	}
+}
+
+// grant answers a node that asks for tokens.
+func (r *runs) grant(f *framer.Frame) {
+	a := f.GetAsk()
+	granted := r.taker.linker.handlers.Grant(r.ctx, a.GetCustomer(), a.GetTokens(), a.GetHeld())
+	if granted <= 0 {
+		granted = -1
 	}
+	r.session.put(&framer.Frame{Number: f.GetNumber(), Grant: granted})
 }
 
 // begin starts a call once it is whole.
--- a/internal/rationer/rationer.go
+++ b/internal/rationer/rationer.go
@@ -1,6 +1,6 @@
 // Package rationer keeps customers to their rates over all nodes without a
-// holder: each node spends an equal part, and gives tokens away to those that
-// run short. What a lost message carried is lost and never spent twice, so the
+// holder of state: a few nodes have equal parts and give tokens away to those that
+// run short or have no part. What a lost message carried is lost and never spent twice, so the
 // parts together stay below the rate whatever fails. It knows no clock and does
 // no input or output; a Rationer is not safe for concurrent use.
 package rationer
@@ -12,6 +12,13 @@
 	keptPart = 0.25
 	// leastGift is the least number of tokens that is given away at once.
 	leastGift = 0.05
+	// wholePart is the number of gifts in a full bucket from which on a node gives
+	// all that is asked for or nothing: parts of a token that a node gets and can't
+	// use are lost.
+	wholePart = 2
+	// giftLife is for how long tokens above the own part are kept, so that no node
+	// saves up what others gave.
+	giftLife = 500 * time.Millisecond
 )
 
 type (
@@ -21,6 +28,9 @@
 		Rate float64
 		// Burst is the number of requests above the rate.
 		Burst float64
+		// StartsFull says that a node that starts may spend its part at once, as
+		// the limit allows for what an earlier run of it has spent.
+		StartsFull bool
 	}
 
 	// Rationer keeps the parts of one node. The zero Rationer is ready for use.
@@ -31,23 +41,25 @@
 	// bucket is the node's part of one customer's limit.
 	bucket struct {
 		limit  Limit
-		nodes  int
+		parts  int
 		tokens float64
 		filled time.Time
+		// added is when tokens above the own part last came.
+		added time.Time
 	}
 )
 
-// Admit spends a token of a customer and reports whether there was one. nodes
-// is the number of nodes that share the limit, at least 1.
-func (r *Rationer) Admit(now time.Time, customer string, limit Limit, nodes int) bool {
+// Admit spends tokens of a customer and reports whether there were enough. parts is
+// the number of nodes that have a part of the limit; 0 when this one has none.
+func (r *Rationer) Admit(now time.Time, customer string, limit Limit, parts int, tokens float64) bool {
 	if limit.Rate <= 0 {
 		return true
 	}
-	b := r.bucket(now, customer, limit, nodes)
-	if b.tokens < 1 {
+	b := r.bucket(now, customer, limit, parts)
+	if b.tokens < tokens {
 		return false
 	}
-	b.tokens--
+	b.tokens -= tokens
 	return true
 }
 
@@ -57,6 +69,7 @@
 	if b := r.buckets[customer]; b != nil {
 		b.fill(now)
 		b.tokens = max(b.tokens, min(b.tokens+tokens, b.limit.Burst))
+		b.added = now
 	}
 }
 
@@ -67,6 +80,13 @@
 		return 0
 	}
 	b.fill(now)
+	if b.most() >= wholePart*tokens {
+		if b.tokens < tokens {
+			return 0
+		}
+		b.tokens -= tokens
+		return tokens
+	}
 	given = min(tokens, b.tokens*(1-keptPart))
 	if given < leastGift {
 		return 0
@@ -76,14 +96,14 @@
 }
 
 // Set takes the limits in force. A customer that is new since the last ones
-// starts with a full bucket. In the first ones that a node knows all start
-// empty: an earlier run of the node may have spent what it held.
-func (r *Rationer) Set(now time.Time, limits map[string]Limit, nodes int) {
+// starts with a full bucket. In the first ones that a node knows those start empty
+// that are not to start full: an earlier run of the node may have spent what it held.
+func (r *Rationer) Set(now time.Time, limits map[string]Limit, parts int) {
 	first := r.buckets == nil
 	for name, limit := range limits {
 		known := r.buckets[name] != nil
-		b := r.bucket(now, name, limit, nodes)
-		if !known && !first {
+		b := r.bucket(now, name, limit, parts)
+		if !known && (!first || limit.StartsFull) {
 			b.tokens = b.most()
 		}
 	}
@@ -96,18 +116,18 @@
 
 // bucket returns the bucket of a customer, filled up to now. A new one is
 // empty.
-func (r *Rationer) bucket(now time.Time, customer string, limit Limit, nodes int) *bucket {
+func (r *Rationer) bucket(now time.Time, customer string, limit Limit, parts int) *bucket {
 	b := r.buckets[customer]
 	if b == nil {
 		if r.buckets == nil {
 			r.buckets = map[string]*bucket{}
 		}
-		b = &bucket{limit: limit, nodes: nodes, filled: now}
+		b = &bucket{limit: limit, parts: parts, filled: now}
 		r.buckets[customer] = b
 	}
 	b.fill(now)
-	if limit != b.limit || nodes != b.nodes {
-		b.limit, b.nodes = limit, nodes
+	if limit != b.limit || parts != b.parts {
+		b.limit, b.parts = limit, parts
 		b.tokens = min(b.tokens, b.most())
 	}
 	return b
@@ -116,13 +136,19 @@
 func (b *bucket) fill(now time.Time) {
 	elapsed := now.Sub(b.filled).Seconds()
 	b.filled = now
+	if b.tokens > b.most() && now.Sub(b.added) > giftLife {
+		b.tokens = b.most()
+	}
 	if elapsed <= 0 || b.tokens >= b.most() {
 		return
 	}
-	b.tokens = min(b.most(), b.tokens+elapsed*b.limit.Rate/float64(b.nodes))
+	b.tokens = min(b.most(), b.tokens+elapsed*b.limit.Rate/float64(b.parts))
 }
 
 // most is what the bucket holds when it has filled by itself.
 func (b *bucket) most() float64 {
-	return b.limit.Burst / float64(b.nodes)
+	if b.parts == 0 {
+		return 0
+	}
+	return b.limit.Burst / float64(b.parts)
 }
--- a/internal/retrier/allowance.go
+++ b/internal/retrier/allowance.go
@@ -1,86 +1,78 @@
 package retrier
 
-import "time"
+import (
+	"time"
+
+	"github.com/flamingotack/flamingotack/internal/averager"
+)
 
 const (
-	// allowanceWindow is the time over which requests earn repeats.
-	allowanceWindow = 10 * time.Second
-	// usedPart is the part of what is allowed that a node uses; the rest is
-	// for what it can't see, such as repeats of its callers' calls.
+	// Window is the time over which repeats are counted against requests.
+	Window = 10 * time.Second
+	// usedPart is the part of what is allowed that is used; the rest is for what a
+	// node can't see, such as repeats of its callers' calls.
 	usedPart = 0.8
+	// earnedTime is the time over which repeats that requests have earned fade, so
+	// that what is saved up before a window adds little to what it allows.
+	earnedTime = Window / 4
+	// slackParts divides the slack: a window may see what was there at its start,
+	// what comes back during it and, if all nodes start anew, a part once more.
+	slackParts = 3
 )
 
-type (
-	// Allowance keeps the repeats of all nodes together at a part of the
-	// requests for each service. Each node earns by the requests that it
-	// takes itself and has an equal part of the constant slack, so that no
-	// message is needed.
-	Allowance struct {
-		// Ratio is the number of repeats that a request allows.
-		Ratio float64
-		// Slack is the number of repeats in a window that is allowed besides.
-		Slack float64
+// Allowance keeps the repeats of all nodes together at a part of the requests for
+// each service. Each node earns by the requests that it takes itself, so that no
+// message is needed.
+type Allowance struct {
+	// Ratio is the number of repeats that a request allows.
+	Ratio float64
 
-		services map[string]*saving
-	}
+	services map[string]*averager.Sum
+}
 
-	// saving is what a node may spend on repeats at one service.
-	saving struct {
-		earned float64
-		slack  float64
-		paid   time.Time
-	}
-)
+// Slack returns the number of repeats that all nodes together may save up besides
+// those that requests earn, and how many come back in a second, when slack is what is
+// allowed in a Window.
+func Slack(slack float64) (most, perSecond float64) {
+	most = slack * usedPart / slackParts
+	return most, most / Window.Seconds()
+}
 
 // Earn counts a request of a caller for a service.
-func (a *Allowance) Earn(now time.Time, service string, nodes int) {
-	s := a.saving(now, service, nodes)
-	s.earned = min(s.earned+a.Ratio*usedPart, a.most(nodes))
+func (a *Allowance) Earn(now time.Time, service string) {
+	a.earned(service).Add(now, earnedTime, a.Ratio*usedPart)
 }
 
-// Spend takes the cost of a repeat and reports whether there was enough at each
-// service. cost is the number of requests that the repeat brings to a service.
-func (a *Allowance) Spend(now time.Time, cost map[string]float64, nodes int) bool {
+// Spend takes the cost of a repeat from what was earned and returns what that lacks.
+// cost is the number of requests that the repeat brings to a service.
+func (a *Allowance) Spend(now time.Time, cost map[string]float64) (lacking map[string]float64) {
+	lacking = map[string]float64{}
 	for service, n := range cost {
-		s := a.saving(now, service, nodes)
-		if s.earned+s.slack < n {
-			return false
+		s := a.earned(service)
+		taken := min(n, s.At(now, earnedTime))
+		s.Add(now, earnedTime, -taken)
+		if taken < n {
+			lacking[service] = n - taken
 		}
 	}
-	for service, n := range cost {
-		s := a.services[service]
-		fromSlack := min(n, s.slack)
-		s.slack -= fromSlack
-		s.earned -= n - fromSlack
-	}
-	return true
-}
-
-// most bounds what is saved up, so that a burst of repeats after a long calm
-// still fits one window.
-func (a *Allowance) most(nodes int) float64 {
-	return a.part(nodes)
+	return lacking
 }
 
-// part is a third of the node's part of the slack: one window may see what was
-// there at its start, what comes back during it, and what requests before it
-// have earned.
-func (a *Allowance) part(nodes int) float64 {
-	return a.Slack * usedPart / float64(max(1, nodes)) / 3
+// Refund gives back what Spend took of a cost of which that was lacking.
+func (a *Allowance) Refund(now time.Time, cost, lacking map[string]float64) {
+	for service, n := range cost {
+		a.earned(service).Add(now, earnedTime, n-lacking[service])
+	}
 }
 
-func (a *Allowance) saving(now time.Time, service string, nodes int) *saving {
+func (a *Allowance) earned(service string) *averager.Sum {
 	if a.services == nil {
-		a.services = map[string]*saving{}
+		a.services = map[string]*averager.Sum{}
 	}
 	s := a.services[service]
 	if s == nil {
-		s = &saving{slack: a.part(nodes), paid: now}
+		s = &averager.Sum{}
 		a.services[service] = s
 	}
-	elapsed := now.Sub(s.paid)
-	s.paid = now
-	part := a.part(nodes)
-	s.slack = min(part, s.slack+part*float64(elapsed)/float64(allowanceWindow))
 	return s
 }
--- /dev/null
+++ b/internal/selector/delegates.go
@@ -0,0 +1,44 @@
+package selector
+
+import "slices"
+
+const (
+	// delegates is about the number of nodes that act for all, so that it does not
+	// grow with the number of nodes, and leastDelegates how many there are in each
+	// failure domain, at least.
+	delegates      = 16
+	leastDelegates = 2
+)
+
+// Delegates are the nodes that act for all: they hold the parts of what all nodes
+// share, such as customers' rates, and follow the directory.
+type Delegates struct {
+	// Names are their names, by failure domain.
+	Names map[string][]string
+	// Count is the number of all of them.
+	Count int
+}
+
+// NewDelegates chooses the delegates among all nodes: the first ones of each failure
+// domain on the common ring, so that all nodes with the same members choose the same.
+func NewDelegates(self Node, nodes []Node) Delegates {
+	d := Delegates{Names: map[string][]string{}}
+	places := ring(self, nodes)
+	domains := map[string]struct{}{}
+	for _, p := range places {
+		domains[p.Domain] = struct{}{}
+	}
+	each := max(leastDelegates, (delegates+len(domains)-1)/len(domains))
+	for _, p := range places {
+		if len(d.Names[p.Domain]) < each {
+			d.Names[p.Domain] = append(d.Names[p.Domain], p.Name)
+			d.Count++
+		}
+	}
+	return d
+}
+
+// Has reports whether a node of a failure domain is one.
+func (d Delegates) Has(name, domain string) bool {
+	return slices.Contains(d.Names[domain], name)
+}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -20,10 +20,11 @@
 	// first in an order. Those that follow are taken from all domains by turns.
 	Near = 8
 	// Linked is the number of usable nodes of each service to which a node keeps
-	// links, if there are as many, and Most the number to which it does while it
-	// looks for usable ones.
+	// links, if there are as many.
 	Linked = 16
-	Most   = 32
+	// Most is the number of nodes of each service to which a node keeps links while
+	// it looks for usable ones.
+	Most = 32
 )
 
 type (
