Send calls to sound servers first, and charge rates after admission

Change: assessor keeps the part of the runs that end badly, told with the load; router gives servers from a fifth on calls only when sound ones are full; the regulator counts sound capacity. The regulator decides before the rate is charged, and takes the admission back when the customer is above it. Pauses of borrowing are 20 to 160 ms.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -41,6 +41,10 @@
 
 	// Forwarder runs calls on nodes.
 	Forwarder interface {
+		// Admit reports whether a request may begin its chain of calls.
+		Admit(c *exchanger.Call) *exchanger.Refusal
+		// Retract takes back the admission of a request that does not begin it.
+		Retract(c *exchanger.Call)
 		// Earn counts a request of a caller for a service.
 		Earn(service string)
 		// Forward runs a call on one of the nodes of its service.
@@ -282,9 +286,17 @@
 		a.Called(n.call.Route)
 	} else {
 		a.Forwarder.Earn(n.call.Service)
+		// Tokens of a rate are borrowed from other nodes, so what does not begin
+		// takes none.
+		if refusal := a.Forwarder.Admit(n.call); refusal != nil {
+			return nil, refusal
+		}
 	}
 	if n.customer != nil && n.customer.Rate > 0 {
 		if !a.Rates.Charge(ctx, n.customer) {
+			if !n.call.Inner {
+				a.Forwarder.Retract(n.call)
+			}
 			return nil, a.overRate(n)
 		}
 	}
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -28,6 +28,10 @@
 		calls   []*exchanger.Call
 		earned  []string
 		refusal *exchanger.Refusal
+		// unadmitted is the answer to Admit, and admitted counts those that were
+		// not retracted.
+		unadmitted *exchanger.Refusal
+		admitted   int
 	}
 
 	// countingRates admits while tokens are left.
@@ -49,6 +53,13 @@
 	}
 )
 
+func (f *recordingForwarder) Admit(*exchanger.Call) *exchanger.Refusal {
+	f.admitted++
+	return f.unadmitted
+}
+
+func (f *recordingForwarder) Retract(*exchanger.Call) { f.admitted-- }
+
 func (f *recordingForwarder) Earn(service string) { f.earned = append(f.earned, service) }
 
 func (f *recordingForwarder) Forward(_ context.Context, c *exchanger.Call, _ *director.Route) (*exchanger.Reply, *exchanger.Refusal) {
@@ -245,3 +256,26 @@
 		}
 	}
 }
+
+// TestRefusedChainsTakeNoTokens refuses a request because of the services below: its
+// customer's rate is left to those that run. One above the rate gives its place in the
+// services below back.
+func TestRefusedChainsTakeNoTokens(t *testing.T) {
+	const request = "GET /view/1 HTTP/1.1\nHost: a\nAttempt: 1\nAuthorization: Bearer k1"
+	f := newFixture(t)
+	f.forwarder.unadmitted = exchanger.NotRun(503, exchanger.ReasonOverload, "")
+	before := f.rates.tokens
+	if got := f.request(t, request).Status; got != 503 {
+		t.Errorf("got status %d, want 503", got)
+	}
+	if f.rates.tokens != before {
+		t.Errorf("got %d tokens left, want all %d", f.rates.tokens, before)
+	}
+	f.forwarder.unadmitted, f.forwarder.admitted, f.rates.tokens = nil, 0, 0
+	if got := f.request(t, request).Status; got != 429 {
+		t.Errorf("got status %d, want 429", got)
+	}
+	if f.forwarder.admitted != 0 {
+		t.Errorf("got %d admissions that hold, want none", f.forwarder.admitted)
+	}
+}
--- a/internal/admitter/rates.go
+++ b/internal/admitter/rates.go
@@ -25,10 +25,12 @@
 	askedFirst  = 1
 	askedAtOnce = 4
 	maxRounds   = 4
+	// delegateRounds is how often a delegate asks others on behalf of another node.
+	delegateRounds = 2
 	// firstPause is how long no node is asked after all said that they have
 	// no tokens; each further time doubles it up to lastPause.
-	firstPause = 50 * time.Millisecond
-	lastPause  = 800 * time.Millisecond
+	firstPause = 20 * time.Millisecond
+	lastPause  = 160 * time.Millisecond
 	// milli is the number of thousandths in a token.
 	milli = 1000
 )
@@ -130,12 +132,17 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	names := s.order(customer, s.peers.Delegates())
-	s.askAll(ctx, customer, tokens-granted, names[:min(askedAtOnce, len(names))], true)
-	more := s.give(customer, tokens-granted)
-	if more == 0 {
-		s.pause(customer)
+	for range delegateRounds {
+		count := min(askedAtOnce, len(names))
+		s.askAll(ctx, customer, tokens-granted, names[:count], true)
+		names = names[count:]
+		granted += s.give(customer, tokens-granted)
+		if granted >= tokens {
+			return granted
+		}
 	}
-	return granted + more
+	s.pause(customer)
+	return granted
 }
 
 // Refund gives back the token of a request that has not run.
--- a/internal/admitter/rates_test.go
+++ b/internal/admitter/rates_test.go
@@ -104,6 +104,10 @@
 		{"302 nodes, a domain lost", 302, 5, 0.6, false, true, 0.99},
 		{"302 nodes, all at one", 302, 5, 0.6, true, false, 0.99},
 		{"12 nodes", 12, 3, 0.6, false, false, 0.99},
+		{"302 nodes, just below the rate", 302, 5, 0.95, false, false, 0.97},
+		{"302 nodes, just above the rate", 302, 5, 1.2, false, false, 0.95 / 1.2},
+		{"302 nodes, just below what is left of the rate", 302, 5, 0.75, false, true, 0.97},
+		{"96 nodes, just above the rate", 96, 5, 1.2, false, false, 0.95 / 1.2},
 		{"302 nodes, three times the rate", 302, 5, 3, false, false, 0.3},
 	}
 	for _, tt := range tests {
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -208,6 +208,7 @@
 	n.fans = admitter.NewFanCounter(clock)
 	n.guardian = guardian.New(guardian.Settings{
 		Backend: backend,
+		Calls:   n.fans.Calls,
 		Changed: n.wake,
 		Clock:   clock,
 		Dialect: s.Dialect,
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -6,6 +6,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"github.com/flamingotack/flamingotack/internal/assessor"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/guardian"
 	"github.com/flamingotack/flamingotack/internal/retrier"
@@ -27,6 +28,10 @@
 	// which on the route is not begun while no server of that service takes
 	// requests.
 	neededPart = 0.9
+	// leastSound is the part of a service's capacity that must be sound for work to
+	// be admitted by that alone. With less, chains are better begun on servers on
+	// which some calls end badly than not at all.
+	leastSound = 0.15
 )
 
 type (
@@ -38,10 +43,10 @@
 	}
 )
 
-// admit reports whether a request may begin its chain of calls, by what the
+// Admit reports whether a request may begin its chain of calls, by what the
 // services below it bear. A request that was refused before goes first among
 // those of its priority.
-func (f *Forwarder) admit(c *exchanger.Call) *exchanger.Refusal {
+func (f *Forwarder) Admit(c *exchanger.Call) *exchanger.Refusal {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.refresh()
@@ -70,6 +75,13 @@
 	return refusal
 }
 
+// Retract takes back the admission of a request that does not begin its chain.
+func (f *Forwarder) Retract(c *exchanger.Call) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.regulator.Retract(f.Clock.Now(), c.Route, f.costs(c))
+}
+
 // closedBelow returns a service that nearly every call of the route needs and
 // that has no server which takes requests. The caller holds the lock.
 func (f *Forwarder) closedBelow(c *exchanger.Call, now time.Time) (service string, found bool) {
@@ -129,7 +141,7 @@
 	}
 	f.measured = now
 	f.regulator.Nodes = len(f.members)
-	offered, bears := map[string]float64{}, map[string]float64{}
+	offered, bears, sound := map[string]float64{}, map[string]float64{}, map[string]float64{}
 	held, count := map[string]time.Duration{}, map[string]int{}
 	for _, r := range f.loads {
 		if r.load.Closed || now.Sub(r.taken) > loadLife {
@@ -137,11 +149,17 @@
 		}
 		offered[r.service] += r.load.Offered
 		bears[r.service] += r.load.Bears
+		if assessor.Sound(r.load.Failing) {
+			sound[r.service] += r.load.Bears * (1 - r.load.Failing)
+		}
 		held[r.service] += r.load.Service
 		count[r.service]++
 	}
 	for service, b := range bears {
 		f.held[service] = held[service] / time.Duration(count[service])
+		if sound[service] >= leastSound*b {
+			b = sound[service]
+		}
 		scale := max(1, f.samples[service])
 		f.regulator.Report(now, service, scale*offered[service], scale*b)
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/flamingotack/flamingotack/internal/assessor"
 	"github.com/flamingotack/flamingotack/internal/averager"
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
@@ -131,11 +132,6 @@
 
 // Forward runs a call on one of the nodes of its service.
 func (f *Forwarder) Forward(ctx context.Context, c *exchanger.Call, route *director.Route) (*exchanger.Reply, *exchanger.Refusal) {
-	if !c.Inner {
-		if refusal := f.admit(c); refusal != nil {
-			return nil, refusal
-		}
-	}
 	t := &trip{forwarder: f, call: c, attempts: route.Attempts}
 	return t.run(ctx)
 }
@@ -309,6 +305,7 @@
 		Queued:      l.Queued,
 		Shed:        exchanger.PriorityLow,
 		Draining:    l.Closed,
+		Failing:     !assessor.Sound(l.Failing),
 	}
 }
 
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -58,6 +58,16 @@
 	return f, l
 }
 
+// begin admits a call and forwards it, as the ingress does.
+func begin(t *testing.T, f *Forwarder, c *exchanger.Call) *exchanger.Refusal {
+	t.Helper()
+	if refusal := f.Admit(c); refusal != nil {
+		return refusal
+	}
+	_, refusal := f.Forward(t.Context(), c, &director.Route{Attempts: 1})
+	return refusal
+}
+
 func call(repeatable bool) *exchanger.Call {
 	now := time.Now()
 	return &exchanger.Call{ID: "1", Service: "desk", Route: "book", Deadline: now.Add(5 * time.Second), Objective: now.Add(time.Second), Repeatable: repeatable}
@@ -159,7 +169,7 @@
 		f.measured = time.Time{}
 		c := call(false)
 		c.Target = fmt.Sprint("/", i)
-		if _, refusal := f.Forward(t.Context(), c, &director.Route{Attempts: 1}); refusal != nil {
+		if refusal := begin(t, f, c); refusal != nil {
 			refused++
 			if refusal.Ran != exchanger.RanNo || refusal.Reason != exchanger.ReasonOverload {
 				t.Fatalf("got refusal %v, want one for overload that says not run", refusal)
@@ -210,7 +220,7 @@
 					f.TakeLoad(l.members[3+i], *load)
 				}
 			}
-			_, refusal := f.Forward(t.Context(), call(false), &director.Route{Attempts: 1})
+			refusal := begin(t, f, call(false))
 			if got := refusal == nil; got != tt.want {
 				t.Fatalf("got begun %t (%v), want %t", got, refusal, tt.want)
 			}
--- a/internal/guardian/gate.go
+++ b/internal/guardian/gate.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/flamingotack/flamingotack/internal/assessor"
 	"github.com/flamingotack/flamingotack/internal/averager"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/limiter"
@@ -49,6 +50,7 @@
 		offered averager.Sum
 		// services are the times that calls take, by route.
 		services averager.ByKind
+		assessor assessor.Assessor
 		timer    *time.Timer
 		next     time.Time
 	}
@@ -124,6 +126,7 @@
 		l.Bears = min(l.Bears, g.bounds.warmRate*warmPart*l.Service.Seconds())
 		l.Limit = max(1, int(l.Bears))
 	}
+	l.Failing = g.assessor.Failing(now)
 	l.Offered = g.offered.At(now, offeredTime) / offeredTime.Seconds()
 }
 
@@ -144,13 +147,14 @@
 }
 
 // leave says that the call has ended. good tells that its time is that of a
-// whole answer.
-func (p *pass) leave(good bool) {
+// whole answer, end what it tells about the server.
+func (p *pass) leave(good bool, end assessor.End) {
 	g := p.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	g.running--
+	g.assessor.Take(now, end)
 	if good {
 		g.services.Add(now, p.route, now.Sub(p.started))
 	}
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/flamingotack/flamingotack/internal/assessor"
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/invoker"
@@ -48,6 +49,9 @@
 		// would occupy, and Bears the work that its server bears; for a cold
 		// one that can be less than one slot.
 		Offered, Bears float64
+		// Failing is the part of the runs that end badly for a cause of the
+		// server.
+		Failing float64
 		// Closed says that the node takes no new work for its server.
 		Closed bool
 		// Service is the mean time that a call takes.
@@ -58,6 +62,8 @@
 	Settings struct {
 		// Backend runs the calls.
 		Backend *invoker.Invoker
+		// Calls reports whether runs of a route call other backend servers.
+		Calls func(route string) bool
 		// Changed is told that the server is opened or closed. It must not
 		// block.
 		Changed func()
@@ -100,7 +106,7 @@
 		return nil, refusal
 	}
 	reply, refusal := g.send(ctx, c)
-	p.leave(refusal == nil && reply.Status < http.StatusInternalServerError)
+	p.leave(refusal == nil && reply.Status < http.StatusInternalServerError, g.end(c, reply, refusal))
 	return reply, refusal
 }
 
@@ -178,6 +184,21 @@
 	return reply, refusal
 }
 
+// end returns what the end of a run tells about the server. What fails in a run that
+// makes calls may be the fault of those.
+func (g *Guardian) end(c *exchanger.Call, reply *exchanger.Reply, r *exchanger.Refusal) assessor.End {
+	switch {
+	case r == nil && reply.Status < http.StatusInternalServerError:
+		return assessor.EndWell
+	case r != nil && (r.Reason == exchanger.ReasonServerFull || r.Reason == exchanger.ReasonBroken):
+		return assessor.EndBadly
+	case r != nil && r.Reason != exchanger.ReasonDeadline, g.Calls(c.Route):
+		return assessor.EndUnclear
+	default:
+		return assessor.EndBadly
+	}
+}
+
 // log tells what became of a call that was sent to the server.
 func (g *Guardian) log(c *exchanger.Call, id string, started time.Time, r *exchanger.Refusal) {
 	g.Logger.Decision(logger.Decision{
--- a/internal/guardian/guardian_test.go
+++ b/internal/guardian/guardian_test.go
@@ -49,6 +49,7 @@
 		Services: []director.Service{{Name: "ledger", Health: "/health", WarmRate: 20}},
 	}})
 	f.Guardian = New(Settings{
+		Calls:   func(string) bool { return false },
 		Backend: &invoker.Invoker{Address: strings.TrimPrefix(server.URL, "http://"), Dialect: dialect},
 		Changed: func() {},
 		Clock:   f.clock,
--- a/internal/regulator/regulator.go
+++ b/internal/regulator/regulator.go
@@ -134,6 +134,21 @@
 	return true
 }
 
+// Retract takes back an admission of a request that does not begin its chain after
+// all. The arguments are those of Admit.
+func (r *Regulator) Retract(now time.Time, route string, costs map[string]float64) {
+	r.share(route).retract(now)
+	r.all.retract(now)
+	for service, cost := range costs {
+		v := r.valve(now, service)
+		v.pay(now)
+		v.admitted.Add(now, admittedTime, -cost)
+		if v.short {
+			v.saved = min(v.saved+cost, v.most())
+		}
+	}
+}
+
 // Report takes the work that the guards of a service are offered and what their
 // servers bear, both in slots.
 func (r *Regulator) Report(now time.Time, service string, offered, bears float64) {
@@ -251,6 +266,11 @@
 	}
 }
 
+func (s *share) retract(now time.Time) {
+	s.asked.Add(now, fairTime, -1)
+	s.admitted.Add(now, fairTime, -1)
+}
+
 // budget returns the budget in seconds of slots a second.
 func (v *valve) budget() float64 {
 	return v.part * v.bears
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/exchanger"
@@ -42,6 +43,9 @@
 	loadLife = 5 * time.Second
 	// defaultSpill stands for a Spill that is not set.
 	defaultSpill = 0.8
+	// overfull is the part of their capacity in use from which on nodes that are not
+	// failing are full, queues included, so that failing ones get work as well.
+	overfull = 1.2
 	// unknownLimit is what a node gets of which nothing is known yet.
 	unknownLimit = 1
 )
@@ -78,6 +82,9 @@
 		Shed exchanger.Priority
 		// Draining says that the node wants no new work.
 		Draining bool
+		// Failing says that many calls end badly on its server. Others go first
+		// as long as they have room.
+		Failing bool
 	}
 
 	// Router keeps what it knows of the other nodes.
@@ -175,9 +182,10 @@
 	limit, load := 0.0, 0.0
 	spill := cmp.Or(r.Spill, defaultSpill)
 	end := 0
+	sound := r.sound()
 	for c := circleDomain; c <= circleAll; c++ {
-		for end < len(r.usable) && r.usable[end].circle == c {
-			one := &r.usable[end]
+		for end < len(sound) && sound[end].circle == c {
+			one := &sound[end]
 			if !one.node.sheds(now, p) {
 				limit += one.limit
 				load += one.load
@@ -185,12 +193,35 @@
 			end++
 		}
 		if limit >= 1 && load < spill*limit {
-			return r.usable[:end]
+			return sound[:end]
 		}
 	}
+	if limit >= 1 && load < overfull*limit {
+		return sound
+	}
 	return r.usable
 }
 
+// sound returns the usable nodes that are not failing, in their order; it moves the
+// others to the end.
+func (r *Router) sound() []choice {
+	slices.SortStableFunc(r.usable, func(a, b choice) int {
+		return cmp.Compare(failing(a), failing(b))
+	})
+	count := len(r.usable)
+	for count > 0 && r.usable[count-1].node.report.Failing {
+		count--
+	}
+	return r.usable[:count]
+}
+
+func failing(c choice) int {
+	if c.node.report.Failing {
+		return 1
+	}
+	return 0
+}
+
 func (r *Router) circleOf(c Candidate) int {
 	switch {
 	case c.Domain == r.Domain:
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -202,3 +202,80 @@
 		r.End(epoch, c.Name, OutcomeAnswered, 0)
 	}
 }
+
+// TestDeepServiceWhoseServersTurnCallsAway is a service on which 17 of 27 servers turn
+// over half of their calls away at once and so seem to have room: calls go to the
+// others as long as those have room, and to the failing ones only beyond that.
+func TestDeepServiceWhoseServersTurnCallsAway(t *testing.T) {
+	const (
+		servers, sound, slots = 27, 10, 15
+		held                  = 75 * time.Millisecond
+		step                  = time.Millisecond
+		turnedAway            = 0.55
+	)
+	tests := []struct {
+		name string
+		// demand is what is asked for, in parts of what the sound servers bear.
+		demand float64
+		// badly is the part of the calls that end badly, at most, and busy the part
+		// of the sound servers' slots in use, at least.
+		badly, busy float64
+	}{
+		{"sound servers have room", 0.8, 0.02, 0.7},
+		{"sound servers are full", 2, 0.35, 0.9},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			r := &Router{Domain: "d0", Region: "r", Spill: 0.95}
+			candidates := make([]Candidate, servers)
+			running := make([][]time.Time, servers)
+			index := map[string]int{}
+			for i := range candidates {
+				candidates[i] = Candidate{Name: fmt.Sprint("n", i), Incarnation: "1", Domain: fmt.Sprint("d", i%5), Region: "r"}
+				index[candidates[i].Name] = i
+			}
+			now := time.Unix(1_000_000, 0)
+			calls, badly, busy, steps := 0, 0, 0.0, 0
+			perStep := tt.demand * sound * slots * step.Seconds() / held.Seconds()
+			due := 0.0
+			for ; steps < 3000; steps++ {
+				now = now.Add(step)
+				for i := range candidates {
+					ended := 0
+					for ended < len(running[i]) && !running[i][ended].After(now) {
+						r.End(now, candidates[i].Name, OutcomeAnswered, 0)
+						ended++
+					}
+					running[i] = running[i][ended:]
+					if ended > 0 || steps%250 == 0 {
+						r.Report(now, candidates[i].Name, Report{Incarnation: "1", Sequence: uint64(steps + 1), Limit: slots, Running: len(running[i]), Failing: i >= sound})
+					}
+					if i < sound {
+						busy += float64(min(len(running[i]), slots)) / (sound * slots)
+					}
+				}
+				for due += perStep; due >= 1; due-- {
+					c, v := r.Pick(now, random, candidates, 0, nil)
+					if v != VerdictPicked {
+						t.Fatalf("got verdict %d, want a node", v)
+					}
+					calls++
+					i := index[c.Name]
+					if i >= sound && random.Float64() < turnedAway {
+						badly++
+						r.End(now, c.Name, OutcomeAnswered, 0)
+						continue
+					}
+					running[i] = append(running[i], now.Add(held))
+				}
+			}
+			if got := float64(badly) / float64(calls); got > tt.badly {
+				t.Errorf("got %.3f of the calls turned away, want at most %.3f", got, tt.badly)
+			}
+			if got := busy / float64(steps); got < tt.busy {
+				t.Errorf("got %.2f of the sound servers' slots in use, want at least %.2f", got, tt.busy)
+			}
+		})
+	}
+}
