Refuse a call at once when its link broke in that moment

Callers saw: a call that took a session just before it closed waited for its deadline. Cause: frames put on a closed session were kept as unsent, but the end of the session had already looked for calls to refuse. Change: a closed session takes no frames, and the call is refused as not run at once. TestCallsOnALinkThatJustBroke took 10 s before.

--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -73,7 +73,9 @@
 		return 0
 	}
 	defer k.end(number)
-	p.session.put(&framer.Frame{Number: number, Ask: a})
+	if !p.session.put(&framer.Frame{Number: number, Ask: a}) {
+		return 0
+	}
 	select {
 	case r := <-p.done:
 		return r.granted
@@ -230,7 +232,10 @@
 		return nil, unreachable(k.member.Name)
 	}
 	now := k.owner.clock.Now()
-	p.session.put(fromCall(number, c, now)...)
+	if !p.session.put(fromCall(number, c, now)...) {
+		k.end(number)
+		return nil, unreachable(k.member.Name)
+	}
 	timer := time.NewTimer(c.Deadline.Sub(now) + replyMargin)
 	defer timer.Stop()
 	select {
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -332,3 +332,22 @@
 		t.Errorf("got %d of nothing, want 0", got)
 	}
 }
+
+// TestCallsOnALinkThatJustBroke guards against calls that wait for their deadline: the
+// session is closed after the call has taken it and before the call is queued.
+func TestCallsOnALinkThatJustBroke(t *testing.T) {
+	a, _ := pair(t)
+	k := a.link("b")
+	s := k.current.Load()
+	s.close()
+	// Once the link stands anew, the end of the old session is done with.
+	await(t, func() bool { now := k.current.Load(); return now != nil && now != s })
+	k.current.Store(s)
+	started := time.Now()
+	if _, refusal := k.send(t.Context(), call(10*time.Second)); refusal == nil || refusal.Ran != exchanger.RanNo || refusal.Reason != exchanger.ReasonUnreachable {
+		t.Errorf("got refusal %v, want one that says not run", refusal)
+	}
+	if got := time.Since(started); got > 5*time.Second {
+		t.Errorf("got the refusal after %s, want it at once", got)
+	}
+}
--- a/internal/linker/session.go
+++ b/internal/linker/session.go
@@ -77,18 +77,19 @@
 	return s.begun.Add(time.Duration(s.heard.Load()))
 }
 
-// put queues frames. On a closed session they are kept as unsent.
-func (s *session) put(frames ...*framer.Frame) {
+// put queues frames, and reports whether the session is open; a closed one takes none.
+func (s *session) put(frames ...*framer.Frame) (open bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.queue = append(s.queue, frames...)
 	if s.closed {
-		return
+		return false
 	}
+	s.queue = append(s.queue, frames...)
 	select {
 	case s.wake <- struct{}{}:
 	default:
 	}
+	return true
 }
 
 // withdraw takes a call that was not sent yet off the queue, and reports whether it
