Count on a surge before cold servers tell of pressure

Cause: in the first moments after a loss of power all that was there before begins at cold servers, as no guard has been offered anything yet; chains die below. Change: what a node admits itself, times the nodes, less the spread of its count, says that a service is short; the budget then does not grow for the second that reports lag.

--- a/internal/regulator/regulator.go
+++ b/internal/regulator/regulator.go
@@ -28,6 +28,11 @@
 	// onset is how far above the target the pressure is from which on a service
 	// is short.
 	onset = 0.1
+	// surge is the work that a service is offered if all nodes admit as much as this
+	// one, in parts of what the servers bear, from which on the service is short
+	// before the servers tell of it.
+	surge  = 1.5
+	spread = 0.7
 	// seenFrom and seenTo bound how long ago the budgets were in force whose
 	// effect a report shows: calls take time to reach the guards, and guards
 	// average.
@@ -97,8 +102,12 @@
 		paid     time.Time
 		reported time.Time
 		refused  time.Time
-		// admitted is the work that was admitted here.
-		admitted averager.Sum
+		// held is until when the budget does not grow, as the reports don't show
+		// yet what made the service short.
+		held time.Time
+		// admitted is the work that was admitted here, and count the number of
+		// requests.
+		admitted, count averager.Sum
 	}
 )
 
@@ -127,6 +136,7 @@
 	for service, cost := range costs {
 		v := r.valves[service]
 		v.admitted.Add(now, admittedTime, cost)
+		v.count.Add(now, admittedTime, 1)
 		if v.short {
 			v.saved -= cost
 		}
@@ -143,6 +153,7 @@
 		v := r.valve(now, service)
 		v.pay(now)
 		v.admitted.Add(now, admittedTime, -cost)
+		v.count.Add(now, admittedTime, -1)
 		if v.short {
 			v.saved = min(v.saved+cost, v.most())
 		}
@@ -160,14 +171,22 @@
 	v.bears = max(bears, leastBears)
 	pressure := offered / v.bears
 	target := v.target()
+	own := v.admitted.At(now, admittedTime) / admittedTime.Seconds()
+	if expected := own * float64(max(1, r.Nodes)) / v.bears; !v.short && expected > pressure && v.certainty(now)*expected > surge {
+		pressure = expected
+		v.held = now.Add(seenFrom)
+	}
 	least := leastPart / float64(max(1, r.Nodes))
 	switch {
 	case !v.short && pressure > target+onset:
-		v.begin(now, max(least, v.admitted.At(now, admittedTime)/admittedTime.Seconds()*target/offered), pressure)
+		v.begin(now, max(least, own/v.bears*target/pressure), pressure)
 	case v.short && now.Sub(v.refused) > idleTime && pressure < target:
 		v.short = false
 	case v.short:
 		wanted := v.seen() * min(maxGrowth, target/max(pressure, target/maxGrowth))
+		if now.Before(v.held) {
+			wanted = min(wanted, v.part)
+		}
 		v.part += (1 - math.Exp(-elapsed.Seconds()/settleTime.Seconds())) * (wanted - v.part)
 		if pressure < idlePart*target {
 			least = target / float64(max(1, r.Nodes))
@@ -205,6 +224,17 @@
 	}
 }
 
+// certainty returns the part of what was admitted here that is hardly chance: the
+// standard error of a count is its square root, which one count in four exceeds by
+// spread.
+func (v *valve) certainty(now time.Time) float64 {
+	count := v.count.At(now, admittedTime)
+	if count <= 1 {
+		return 0
+	}
+	return 1 - spread/math.Sqrt(count)
+}
+
 // seen returns the mean budget of the time whose effect is reported now.
 func (v *valve) seen() float64 {
 	sum := 0.0
--- a/internal/regulator/regulator_test.go
+++ b/internal/regulator/regulator_test.go
@@ -177,3 +177,53 @@
 		t.Errorf("got a budget of %.1f after %s, want at least %.1f", budget, 4*interval, want)
 	}
 }
+
+// TestSurgeOnColdServersThatShowNoPressureYet is the load in the first moments after a
+// loss of power: all that was there before comes back to cold servers that bear a
+// fraction of it, and the guards have seen none of it yet. What begins must come near
+// what they bear before they tell of pressure.
+func TestSurgeOnColdServersThatShowNoPressureYet(t *testing.T) {
+	const nodes, interval, demand = 20, 10 * time.Millisecond, 10
+	costs := map[string]float64{"deep": 0.2}
+	tests := []struct {
+		name string
+		// bears is what the servers bear, in slots.
+		bears float64
+		// least and most bound the part that begins in the second after the first
+		// 300 ms.
+		least, most float64
+	}{
+		{"cold", nodes * demand * 0.2 / 10, 0.04, 0.3},
+		{"warm", nodes * demand * 0.2 * 1.5, 1, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			regulators := make([]Regulator, nodes)
+			now := epoch
+			asked, admitted := 0, 0
+			for step := range 130 {
+				now = now.Add(interval)
+				for i := range regulators {
+					r := &regulators[i]
+					r.Nodes = nodes
+					r.Report(now, "deep", 0, tt.bears)
+					if random.Float64() > demand*interval.Seconds() {
+						continue
+					}
+					ok := r.Admit(now, "view", 4, costs)
+					if step < 30 {
+						continue
+					}
+					asked++
+					if ok {
+						admitted++
+					}
+				}
+			}
+			if got := float64(admitted) / float64(asked); got < tt.least || got > tt.most {
+				t.Errorf("got %.2f of %d requests begun, want %.2f to %.2f", got, asked, tt.least, tt.most)
+			}
+		})
+	}
+}
