Tell at once when a server is or is not sound any more

Change: runs count for 1 s, and a turn of the verdict is announced. Test: TestServersThatFailAreTold.

--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -23,7 +23,7 @@
 const (
 	// memory is the time after which a run counts a third. A server that gets no
 	// calls is so tried again after some seconds.
-	memory = 2 * time.Second
+	memory = time.Second
 	// presumed is the number of runs that are presumed to have ended well before
 	// the first one.
 	presumed = 4
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -64,8 +64,8 @@
 		Backend *invoker.Invoker
 		// Calls reports whether runs of a route call other backend servers.
 		Calls func(route string) bool
-		// Changed is told that the server is opened or closed. It must not
-		// block.
+		// Changed is told that the server is opened or closed, or is or is not
+		// sound any more. It must not block.
 		Changed func()
 		// Clock tells the time.
 		Clock timekeeper.Clock
@@ -106,7 +106,9 @@
 		return nil, refusal
 	}
 	reply, refusal := g.send(ctx, c)
-	p.leave(refusal == nil && reply.Status < http.StatusInternalServerError, g.end(c, reply, refusal))
+	if p.leave(refusal == nil && reply.Status < http.StatusInternalServerError, g.end(c, reply, refusal)) {
+		g.Changed()
+	}
 	return reply, refusal
 }
 
