Answer what was accepted when a node stops

Operators of similar systems saw requests cut off in planned stops that had just been accepted. Here as well: at its end a node closed its listener, which resets connections that wait to be accepted, and all sockets, with requests that were read between the last look and the close. Change: the listener hands the waiting connections out (listener.Retiring, as the other path does); connections that rest are half-closed, others end behind their answers, for 300 ms at most. A connection set up between the last accept and the close of the socket is still reset before its request is read.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -21,6 +21,7 @@
 	"github.com/flamingotack/flamingotack/internal/guardian"
 	"github.com/flamingotack/flamingotack/internal/invoker"
 	"github.com/flamingotack/flamingotack/internal/linker"
+	"github.com/flamingotack/flamingotack/internal/listener"
 	"github.com/flamingotack/flamingotack/internal/logger"
 	"github.com/flamingotack/flamingotack/internal/meter"
 	"github.com/flamingotack/flamingotack/internal/publisher"
@@ -126,9 +127,11 @@
 	defer func() { err = errors.Wrapf(err, "set up node %q", s.Name) }()
 	n = &Node{settings: s, announce: make(chan struct{}, 1)}
 	n.table.Publish(director.NewTable(director.State{}))
-	if n.listener, err = listen(s.Caller); err != nil {
+	callers, err := listen(s.Caller)
+	if err != nil {
 		return nil, err
 	}
+	n.listener = listener.Wrap(callers.(*net.TCPListener))
 	if n.peers, err = listen(s.Peer); err != nil {
 		n.listener.Close()
 		return nil, err
@@ -191,9 +194,14 @@
 	actor(func(c context.Context) error { return n.settings.Directory.Follow(c, followers{n.linker}, n.take) })
 	actor(n.join)
 	actor(n.announcements)
-	g.Add(func() error { return n.acceptor.Serve(n.listener) }, func(error) {
-		n.listener.Close()
-		n.acceptor.Close()
+	actor(n.remember)
+	actor(func(c context.Context) error {
+		defer n.acceptor.Close()
+		defer context.AfterFunc(c, func() { n.listener.Close() })()
+		err := n.acceptor.Serve(n.listener)
+		// The node goes on after its listener was closed to stop it.
+		<-c.Done()
+		return err
 	})
 	g.Add(func() error { return n.linker.Serve(work, n.peers) }, func(error) { n.peers.Close() })
 	g.Add(func() error { return n.drain(ctx, work) }, func(error) { end() })
--- a/internal/composer/stop.go
+++ b/internal/composer/stop.go
@@ -16,6 +16,9 @@
 	// drainPoll is how often a node that stops looks whether it is idle.
 	drainPoll    = 25 * time.Millisecond
 	leaveTimeout = time.Second
+	// shutdownTimeout bounds the time for which requests that came at the last moment
+	// are still answered. It is less than graceMargin.
+	shutdownTimeout = 300 * time.Millisecond
 )
 
 // drain waits for the end of ctx and stops the node: it takes no work for its
@@ -41,7 +44,8 @@
 		n.leaving.Store(elapsed >= lingerTime)
 		idle := n.acceptor.Busy() == 0 && load.Running == 0
 		if elapsed >= n.settings.Grace-graceMargin || elapsed >= lingerTime && idle {
-			n.settings.Logger.Infof("Ends after %s, %d requests have no answer.", elapsed, n.acceptor.Busy())
+			n.shutdown(work)
+			n.settings.Logger.Infof("Ends after %s, %d requests have no answer.", time.Since(started), n.acceptor.Busy())
 			return nil
 		}
 		timekeeper.Sleep(work, drainPoll)
@@ -49,6 +53,17 @@
 	return nil
 }
 
+// shutdown takes no more connections and ends those that there are, behind the answers
+// to what was read on them.
+func (n *Node) shutdown(ctx context.Context) {
+	if err := n.listener.Close(); err != nil {
+		n.settings.Logger.Warnf("Can't close the listener for callers: %v.", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancel()
+	n.acceptor.Shutdown(ctx)
+}
+
 // leave says that the node leaves for good, as its backend server has.
 func (n *Node) leave(ctx context.Context) {
 	n.linker.Leave()
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -29,7 +29,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Retiring{TCPListener: inner.(*net.TCPListener), waiting: make(chan net.Conn)}, nil
+	return Wrap(inner.(*net.TCPListener)), nil
+}
+
+// Wrap returns a *Retiring that takes the listener over.
+func Wrap(inner *net.TCPListener) *Retiring {
+	return &Retiring{TCPListener: inner, waiting: make(chan net.Conn)}
 }
 
 // Accept returns the next connection; after Close, those that waited.
