Hold each limit at as many delegates as can give whole requests

Cause: 20 holders of a customer with a burst of 27 requests have 1.4 each; they gave parts of requests, four at once, of which most were lost at nodes without a part of their own. Ruled out: too small limits (854 a second in all against 800 asked). Change: holders of a limit are delegates chosen by rendezvous hashing, one of each failure domain and more while each has a burst of 4; whole requests are asked for one by one.

--- a/internal/admitter/rates.go
+++ b/internal/admitter/rates.go
@@ -1,10 +1,8 @@
 package admitter
 
 import (
-	"cmp"
 	"context"
-	"math/rand/v2"
-	"slices"
+	"maps"
 	"sync"
 	"time"
 
@@ -19,14 +17,10 @@
 	// askTimeout bounds the time that a request waits for tokens of other
 	// nodes.
 	askTimeout = 15 * time.Millisecond
-	// askedFirst is the number of nodes that are asked at the same time at first,
-	// askedAtOnce that of those that are asked in each later round, and maxRounds
-	// how often nodes are asked for one request.
-	askedFirst  = 1
-	askedAtOnce = 4
-	maxRounds   = 4
-	// delegateRounds is how often a delegate asks others on behalf of another node.
-	delegateRounds = 2
+	// maxAsked is the number of nodes that are asked for one request, and
+	// partsAtOnce how many at the same time where they give parts of a request.
+	maxAsked    = 12
+	partsAtOnce = 4
 	// firstPause is how long no node is asked after all said that they have
 	// no tokens; each further time doubles it up to lastPause.
 	firstPause = 20 * time.Millisecond
@@ -42,12 +36,12 @@
 		// says that it shall not borrow from others.
 		Ask(ctx context.Context, name, customer string, tokens int64, held bool) (granted int64)
 		// Delegates returns the nodes that hold the rates.
-		Delegates() linker.Delegates
+		Delegates() *linker.Delegates
 	}
 
-	// Shares keeps this node's shares of the customers' rates, if it is a delegate,
-	// and borrows from other delegates what it lacks. Make it by NewShares. It is
-	// safe for concurrent use.
+	// Shares keeps this node's shares of the customers' rates, where it holds any,
+	// and borrows from their other holders what it lacks. Make it by NewShares. It
+	// is safe for concurrent use.
 	Shares struct {
 		clock timekeeper.Clock
 		peers Peers
@@ -57,6 +51,7 @@
 		ration rationer.Rationer
 		pauses map[string]pause
 		gave   map[gift]int64
+		held   map[string]*holders
 	}
 
 	// Slack is how far above their limits the operators let customers go, as
@@ -98,7 +93,7 @@
 
 // NewShares returns Shares of rates that are not known yet.
 func NewShares(clock timekeeper.Clock, p Peers, slack Slack) *Shares {
-	return &Shares{clock: clock, peers: p, slack: slack, pauses: map[string]pause{}, gave: map[gift]int64{}}
+	return &Shares{clock: clock, peers: p, slack: slack, pauses: map[string]pause{}, gave: map[gift]int64{}, held: map[string]*holders{}}
 }
 
 // Charge takes a token of the customer; false when it is over its rate.
@@ -123,25 +118,22 @@
 }
 
 // Give gives tokens away to another node, in thousandths. Unless held is set, other
-// delegates are asked for what is missing.
-func (s *Shares) Give(ctx context.Context, customer string, tokens int64, held bool) (granted int64) {
-	granted = s.give(customer, tokens)
-	if held || granted >= tokens || s.paused(customer) {
+// holders are asked for what is missing.
+func (s *Shares) Give(ctx context.Context, name string, tokens int64, held bool) (granted int64) {
+	granted = s.give(name, tokens)
+	if held || granted >= tokens {
 		return granted
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	names := s.order(customer, s.peers.Delegates())
-	for range delegateRounds {
-		count := min(askedAtOnce, len(names))
-		s.askAll(ctx, customer, tokens-granted, names[:count], true)
-		names = names[count:]
-		granted += s.give(customer, tokens-granted)
-		if granted >= tokens {
-			return granted
-		}
+	s.mu.Lock()
+	h := s.held[name]
+	s.mu.Unlock()
+	if h == nil {
+		return granted
 	}
-	s.pause(customer)
+	s.borrow(ctx, use{name: name, limit: h.limit, tokens: float64(tokens-granted) / milli}, h, func() bool {
+		granted += s.give(name, tokens-granted)
+		return granted >= tokens
+	})
 	return granted
 }
 
@@ -164,32 +156,29 @@
 	for i := range t.State.Config.Services {
 		limits[repeatsAt(t.State.Config.Services[i].Name)] = s.repeats()
 	}
-	l := s.peers.Delegates()
+	d := s.peers.Delegates()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ration.Set(s.clock.Now(), limits, parts(l))
+	s.ration.Set(s.clock.Now(), limits, func(name string) int { return s.holders(name, limits[name], d).parts })
+	maps.DeleteFunc(s.held, func(name string, _ *holders) bool { _, found := limits[name]; return !found })
 }
 
-// borrow asks delegates for tokens and reports whether there are enough then. Those
-// that gave some last time are asked first (the idea of asking the fullest, as idle
-// workers do that look for work to steal).
-func (s *Shares) borrow(ctx context.Context, u use, l linker.Delegates) bool {
-	if s.paused(u.name) {
-		return false
-	}
+// borrow asks holders for tokens until enough says that there are enough, and reports
+// that. Those that gave some last time are asked first (the idea of asking the fullest,
+// as idle workers do that look for work to steal).
+func (s *Shares) borrow(ctx context.Context, u use, h *holders, enough func() bool) bool {
+	names := s.toAsk(u.name, h)
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	names := s.order(u.name, l)
-	count := askedFirst
-	for range maxRounds {
-		count = min(count, len(names))
-		if count == 0 || ctx.Err() != nil {
-			break
-		}
-		s.askAll(ctx, u.name, int64(u.tokens*milli), names[:count], l.Self)
+	atOnce := 1
+	if !h.whole {
+		atOnce = partsAtOnce
+	}
+	for len(names) > 0 && ctx.Err() == nil {
+		count := min(atOnce, len(names))
+		s.askAll(ctx, u.name, int64(u.tokens*milli), names[:count], h.parts > 0)
 		names = names[count:]
-		count = askedAtOnce
-		if s.spend(u, l) {
+		if enough() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			delete(s.pauses, u.name)
@@ -200,6 +189,17 @@
 	return false
 }
 
+// toAsk returns the holders to ask now; none during a pause.
+func (s *Shares) toAsk(name string, h *holders) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.clock.Now().Before(s.pauses[name].until) {
+		return nil
+	}
+	names := s.order(name, h)
+	return names[:min(maxAsked, len(names))]
+}
+
 // askAll asks nodes at the same time for tokens, in thousandths, and takes what they
 // give.
 func (s *Shares) askAll(ctx context.Context, customer string, tokens int64, names []string, held bool) {
@@ -224,24 +224,6 @@
 	return int64(s.ration.Give(s.clock.Now(), customer, float64(tokens)/milli) * milli)
 }
 
-// order returns the delegates to ask, those first that gave most last time, then the
-// nearer ones. Nodes that were never asked count as full.
-func (s *Shares) order(customer string, l linker.Delegates) []string {
-	names := slices.Concat(l.Near, l.Far)
-	shuffle(names[:len(l.Near)])
-	shuffle(names[len(l.Near):])
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	value := func(name string) int64 {
-		if given, asked := s.gave[gift{customer, name}]; asked {
-			return given
-		}
-		return milli
-	}
-	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(value(b), value(a)) })
-	return names
-}
-
 // limit returns what the customer may use over all nodes.
 func (s *Shares) limit(c *director.Customer) rationer.Limit {
 	allowed := c.Rate*s.slack.Window.Seconds() + c.Burst
@@ -257,12 +239,6 @@
 	s.pauses[customer] = p
 }
 
-func (s *Shares) paused(customer string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.clock.Now().Before(s.pauses[customer].until)
-}
-
 func (s *Shares) giveBack(taken map[string]float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -277,23 +253,26 @@
 	return rationer.Limit{Rate: perSecond, Burst: most, StartsFull: true}
 }
 
-func (s *Shares) spend(u use, l linker.Delegates) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.ration.Admit(s.clock.Now(), u.name, u.limit, parts(l), u.tokens)
-}
-
+// take takes tokens and reports whether there were enough.
 func (s *Shares) take(ctx context.Context, u use) bool {
-	l := s.peers.Delegates()
-	return s.spend(u, l) || s.borrow(ctx, u, l)
+	d := s.peers.Delegates()
+	s.mu.Lock()
+	h := s.holders(u.name, u.limit, d)
+	taken := s.spend(u, h)
+	s.mu.Unlock()
+	if taken {
+		return true
+	}
+	return s.borrow(ctx, u, h, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.spend(u, h)
+	})
 }
 
-// parts returns the number of nodes that share the rates; 0 when this one has no part.
-func parts(l linker.Delegates) int {
-	if !l.Self {
-		return 0
-	}
-	return l.Count
+// spend takes what is here. The caller holds the lock.
+func (s *Shares) spend(u use, h *holders) bool {
+	return s.ration.Admit(s.clock.Now(), u.name, u.limit, h.parts, u.tokens)
 }
 
 // repeatsAt returns the name under which the repeats at a service are shared. It is
@@ -301,7 +280,3 @@
 func repeatsAt(service string) string {
 	return "\x00repeats " + service
 }
-
-func shuffle(names []string) {
-	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-}
--- a/internal/admitter/rates_test.go
+++ b/internal/admitter/rates_test.go
@@ -25,8 +25,10 @@
 		names     []string
 		domains   map[string]string
 		// down are nodes that don't answer, and asked counts the questions.
-		down  map[string]bool
-		asked atomic.Int64
+		down map[string]bool
+		// version is that of the delegates.
+		version uint64
+		asked   atomic.Int64
 	}
 
 	// fleetNode is the Peers of one node.
@@ -44,20 +46,20 @@
 	return n.shares[name].Give(ctx, customer, tokens, held)
 }
 
-func (n fleetNode) Delegates() linker.Delegates {
-	l := linker.Delegates{Count: n.delegates.Count, Self: n.delegates.Has(n.name, n.domains[n.name])}
+func (n fleetNode) Delegates() *linker.Delegates {
+	d := &linker.Delegates{
+		Delegates: n.delegates,
+		Version:   n.version,
+		Node:      selector.Node{Name: n.name, Domain: n.domains[n.name]},
+		Up:        map[string]bool{},
+	}
 	for domain, names := range n.delegates.Names {
 		for _, name := range names {
-			switch {
-			case name == n.name || n.down[name]:
-			case domain == n.domains[n.name]:
-				l.Near = append(l.Near, name)
-			case l.Self:
-				l.Far = append(l.Far, name)
-			}
+			linked := domain == d.Node.Domain || d.Self()
+			d.Up[name] = linked && name != n.name && !n.down[name]
 		}
 	}
-	return l
+	return d
 }
 
 func newRateFleet(nodes, domains int, c director.Customer) *rateFleet {
@@ -89,10 +91,10 @@
 // second. Nearly all are admitted, for a few questions each, also while a failure
 // domain is lost; far above the rate they are not.
 func TestRatesOfManyCustomersOverHundredsOfNodes(t *testing.T) {
-	const rate, burst = 38.0, 20.0
 	tests := []struct {
 		name           string
 		nodes, domains int
+		rate, burst    float64
 		// load is what is asked for, in parts of the rate; everything at one node
 		// when single is set; with a failure domain down when lost is.
 		load         float64
@@ -100,31 +102,35 @@
 		// least is the part that is admitted at least.
 		least float64
 	}{
-		{"302 nodes", 302, 5, 0.6, false, false, 0.99},
-		{"302 nodes, a domain lost", 302, 5, 0.6, false, true, 0.99},
-		{"302 nodes, all at one", 302, 5, 0.6, true, false, 0.99},
-		{"12 nodes", 12, 3, 0.6, false, false, 0.99},
-		{"302 nodes, just below the rate", 302, 5, 0.95, false, false, 0.97},
-		{"302 nodes, just above the rate", 302, 5, 1.2, false, false, 0.95 / 1.2},
-		{"302 nodes, just below what is left of the rate", 302, 5, 0.75, false, true, 0.97},
-		{"96 nodes, just above the rate", 96, 5, 1.2, false, false, 0.95 / 1.2},
-		{"302 nodes, three times the rate", 302, 5, 3, false, false, 0.3},
+		{"302 nodes", 302, 5, 38, 20, 0.6, false, false, 0.99},
+		{"302 nodes, a domain lost", 302, 5, 38, 20, 0.6, false, true, 0.99},
+		{"302 nodes, all at one", 302, 5, 38, 20, 0.6, true, false, 0.99},
+		{"12 nodes", 12, 3, 38, 20, 0.6, false, false, 0.99},
+		{"302 nodes, just below the rate", 302, 5, 38, 20, 0.95, false, false, 0.97},
+		{"302 nodes, just above the rate", 302, 5, 38, 20, 1.2, false, false, 0.95 / 1.2},
+		{"302 nodes, just below what is left of the rate", 302, 5, 38, 20, 0.75, false, true, 0.97},
+		{"96 nodes, just above the rate", 96, 5, 38, 20, 1.2, false, false, 0.95 / 1.2},
+		{"96 nodes, small customer just below the rate", 96, 5, 9.5, 9.5, 0.94, false, false, 0.97},
+		{"302 nodes, small customer just below the rate", 302, 5, 9.5, 9.5, 0.94, false, false, 0.97},
+		{"12 nodes, small customer just below the rate", 12, 3, 9.5, 9.5, 0.94, false, false, 0.97},
+		{"302 nodes, three times the rate", 302, 5, 38, 20, 3, false, false, 0.3},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(1, 2))
-			customer := director.Customer{Name: "pond", Rate: rate, Burst: burst}
+			customer := director.Customer{Name: "pond", Rate: tt.rate, Burst: tt.burst}
 			f := newRateFleet(tt.nodes, tt.domains, customer)
 			if tt.lost {
 				for name, domain := range f.domains {
 					f.down[name] = domain == "d1"
 				}
+				f.version++
 			}
 			f.clock.Advance(fleetWindow)
-			total := int(20 * rate * tt.load)
+			total := int(20 * tt.rate * tt.load)
 			var admitted []time.Time
 			for range total {
-				f.clock.Advance(time.Duration(2 * random.Float64() * float64(time.Second) / (rate * tt.load)))
+				f.clock.Advance(time.Duration(2 * random.Float64() * float64(time.Second) / (tt.rate * tt.load)))
 				name := f.names[0]
 				if !tt.single {
 					name = f.names[random.IntN(len(f.names))]
@@ -138,7 +144,7 @@
 				for i := len(admitted) - 1; i >= 0 && f.clock.Now().Sub(admitted[i]) < fleetWindow; i-- {
 					count++
 				}
-				if most := (rate*fleetWindow.Seconds()+burst)*1.1 + 20; float64(count) > most {
+				if most := (tt.rate*fleetWindow.Seconds()+tt.burst)*1.1 + 20; float64(count) > most {
 					t.Fatalf("got %d requests in %s, want at most %.0f", count, fleetWindow, most)
 				}
 			}
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -330,7 +330,7 @@
 	n.settings.Logger.Infof("Revision %d is in force: configuration %d, out of service %v.", s.Revision, s.Version(), s.Evacuated)
 	n.guardian.Refresh()
 	n.shares.Set(n.table.Load())
-	if n.linker.Delegates().Self {
+	if n.linker.Delegates().Self() {
 		n.wake()
 	}
 }
--- a/internal/linker/delegates.go
+++ b/internal/linker/delegates.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/framer"
+	"github.com/flamingotack/flamingotack/internal/selector"
 )
 
 const (
@@ -15,21 +16,27 @@
 	followLife = 3 * time.Second
 )
 
-// Delegates are the nodes that act for all.
+// Delegates are the nodes that act for all, as one node sees them. They are not
+// changed.
 type Delegates struct {
-	// Count is their number.
-	Count int
-	// Self says that this node is one of them.
-	Self bool
-	// Near and Far are the names of the others that can be asked now, in the own
-	// failure domain and in other ones. They are not changed.
-	Near, Far []string
+	selector.Delegates
+	// Version grows with each change of what follows.
+	Version uint64
+	// Node is the node that sees them so.
+	Node selector.Node
+	// Up are the others that can be asked now.
+	Up map[string]bool
 }
 
-// delegatesAt are the delegates as of a version of the members and the links.
-type delegatesAt struct {
-	Delegates
-	version uint64
+// Self reports whether the node is one of them.
+func (d *Delegates) Self() bool {
+	return d.Has(d.Node.Name, d.Node.Domain)
+}
+
+// First reports whether the node is the first one of its failure domain.
+func (d *Delegates) First() bool {
+	names := d.Names[d.Node.Domain]
+	return len(names) > 0 && names[0] == d.Node.Name
 }
 
 // Ask asks a node for tokens of a customer's rate, in thousandths. held says that it
@@ -43,37 +50,30 @@
 }
 
 // Delegates returns the nodes that act for all.
-func (l *Linker) Delegates() (found Delegates) {
+func (l *Linker) Delegates() *Delegates {
 	version := l.version.Load()
-	if known := l.found.Load(); known != nil && known.version == version {
-		return known.Delegates
+	if known := l.found.Load(); known != nil && known.Version == version {
+		return known
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	defer func() { l.found.Store(&delegatesAt{Delegates: found, version: version}) }()
 	l.orderMembers()
-	found.Count = l.delegates.Count
-	found.Self = l.delegates.Has(l.self.Name, l.self.Domain)
-	for domain, names := range l.delegates.Names {
+	found := &Delegates{Delegates: l.delegates, Version: version, Node: toNode(l.self), Up: map[string]bool{}}
+	for _, names := range l.delegates.Names {
 		for _, name := range names {
-			k := l.links[name]
-			switch {
-			case k == nil || k.current.Load() == nil:
-			case domain == l.self.Domain:
-				found.Near = append(found.Near, name)
-			default:
-				found.Far = append(found.Far, name)
+			if k := l.links[name]; k != nil && k.current.Load() != nil {
+				found.Up[name] = true
 			}
 		}
 	}
+	l.found.Store(found)
 	return found
 }
 
 // Followed reports whether this node may leave it to delegates to follow the
 // directory, as it hears from enough of them that it answers.
 func (l *Linker) Followed() bool {
-	d := l.Delegates()
-	if d.Self {
+	if l.Delegates().Self() {
 		return false
 	}
 	l.mu.Lock()
--- a/internal/linker/fleet_test.go
+++ b/internal/linker/fleet_test.go
@@ -84,8 +84,8 @@
 	awaitAll(t, nodes, func(n *node) bool { return n.up() >= selector.Linked-1 })
 	for _, n := range nodes {
 		delegates := n.Delegates()
-		want := selector.Linked + len(delegates.Near)
-		if delegates.Self {
+		want := selector.Linked + len(delegates.Names[n.member.Domain])
+		if delegates.Self() {
 			want = selector.Linked + delegates.Count - 1
 		}
 		if got := len(n.wanted()); got > want {
@@ -153,7 +153,7 @@
 		}
 	}
 	answer(true)
-	awaitAll(t, nodes, func(n *node) bool { return n.Followed() != n.Delegates().Self })
+	awaitAll(t, nodes, func(n *node) bool { return n.Followed() != n.Delegates().Self() })
 	answer(false)
 	awaitAll(t, nodes, func(n *node) bool { return !n.Followed() })
 }
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -96,7 +96,7 @@
 		// version counts the changes of the members and of the links.
 		version atomic.Uint64
 		// found are the delegates that were found last.
-		found atomic.Pointer[delegatesAt]
+		found atomic.Pointer[Delegates]
 		// encoded is the state that was sent last.
 		encoded atomic.Pointer[encodedState]
 		// wake is told that the members have changed.
--- a/internal/rationer/rationer.go
+++ b/internal/rationer/rationer.go
@@ -12,10 +12,10 @@
 	keptPart = 0.25
 	// leastGift is the least number of tokens that is given away at once.
 	leastGift = 0.05
-	// wholePart is the number of gifts in a full bucket from which on a node gives
+	// wholeGifts is the number of gifts in a full bucket from which on a node gives
 	// all that is asked for or nothing: parts of a token that a node gets and can't
 	// use are lost.
-	wholePart = 2
+	wholeGifts = 2
 	// giftLife is for how long tokens above the own part are kept, so that no node
 	// saves up what others gave.
 	giftLife = 500 * time.Millisecond
@@ -80,7 +80,7 @@
 		return 0
 	}
 	b.fill(now)
-	if b.most() >= wholePart*tokens {
+	if b.most() >= wholeGifts*tokens {
 		if b.tokens < tokens {
 			return 0
 		}
@@ -98,11 +98,13 @@
 // Set takes the limits in force. A customer that is new since the last ones
 // starts with a full bucket. In the first ones that a node knows those start empty
 // that are not to start full: an earlier run of the node may have spent what it held.
-func (r *Rationer) Set(now time.Time, limits map[string]Limit, parts int) {
+// parts returns the number of nodes that have a part of a customer's limit, as for
+// Admit.
+func (r *Rationer) Set(now time.Time, limits map[string]Limit, parts func(customer string) int) {
 	first := r.buckets == nil
 	for name, limit := range limits {
 		known := r.buckets[name] != nil
-		b := r.bucket(now, name, limit, parts)
+		b := r.bucket(now, name, limit, parts(name))
 		if !known && (!first || limit.StartsFull) {
 			b.tokens = b.most()
 		}
--- a/internal/rationer/rationer_test.go
+++ b/internal/rationer/rationer_test.go
@@ -26,7 +26,7 @@
 		limits := map[string]Limit{"c": limit}
 		for i := range nodes {
 			nodes[i] = &Rationer{}
-			nodes[i].Set(epoch, limits, len(nodes))
+			nodes[i].Set(epoch, limits, all(len(nodes)))
 		}
 		now := epoch
 		var admitted []time.Time
@@ -41,7 +41,7 @@
 				}
 			case 1:
 				nodes[i] = &Rationer{}
-				nodes[i].Set(now, limits, len(nodes))
+				nodes[i].Set(now, limits, all(len(nodes)))
 			default:
 				if nodes[i].Admit(now, "c", limit, len(nodes), 1) {
 					admitted = append(admitted, now)
@@ -67,7 +67,7 @@
 	nodes := make([]*Rationer, 12)
 	for i := range nodes {
 		nodes[i] = &Rationer{}
-		nodes[i].Set(epoch, map[string]Limit{"c": limit}, len(nodes))
+		nodes[i].Set(epoch, map[string]Limit{"c": limit}, all(len(nodes)))
 	}
 	now := epoch.Add(5 * time.Second)
 	admitted := 0
@@ -91,12 +91,17 @@
 func TestNewCustomerStartsFull(t *testing.T) {
 	var r Rationer
 	limit := Limit{Rate: 1, Burst: 8}
-	r.Set(epoch, map[string]Limit{"old": limit}, 2)
+	r.Set(epoch, map[string]Limit{"old": limit}, all(2))
 	if r.Admit(epoch, "old", limit, 2, 1) {
 		t.Error("got a token in the first limits, want none: an earlier run may have spent it")
 	}
-	r.Set(epoch, map[string]Limit{"old": limit, "new": limit}, 2)
+	r.Set(epoch, map[string]Limit{"old": limit, "new": limit}, all(2))
 	if !r.Admit(epoch, "new", limit, 2, 1) {
 		t.Error("got no token for a customer that was added, want one")
 	}
 }
+
+// all says that so many nodes share each limit.
+func all(nodes int) func(string) int {
+	return func(string) int { return nodes }
+}
--- a/internal/retrier/allowance_test.go
+++ b/internal/retrier/allowance_test.go
@@ -21,7 +21,7 @@
 	}
 	for range lenders {
 		r := &rationer.Rationer{}
-		r.Set(now, p.limits, lenders)
+		r.Set(now, p.limits, func(string) int { return lenders })
 		p.lenders = append(p.lenders, r)
 	}
 	return p
--- a/internal/selector/delegates.go
+++ b/internal/selector/delegates.go
@@ -1,6 +1,11 @@
 package selector
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/zeebo/xxh3"
+)
 
 const (
 	// delegates is about the number of nodes that act for all, so that it does not
@@ -42,3 +47,18 @@
 func (d Delegates) Has(name, domain string) bool {
 	return slices.Contains(d.Names[domain], name)
 }
+
+// For returns the delegates that act for one thing, such as a customer: each of every
+// failure domain, by rendezvous hashing (Thaler, Ravishankar: "Using Name-Based
+// Mappings to Increase Hit Rates", 1998).
+func (d Delegates) For(thing string, each int) (chosen map[string][]string) {
+	chosen = make(map[string][]string, len(d.Names))
+	for domain, names := range d.Names {
+		ranked := slices.Clone(names)
+		slices.SortFunc(ranked, func(a, b string) int {
+			return cmp.Compare(xxh3.HashString(thing+" "+a), xxh3.HashString(thing+" "+b))
+		})
+		chosen[domain] = ranked[:min(each, len(ranked))]
+	}
+	return chosen
+}
