Keep the fans of all routes for nodes that start when all are gone

Cause: for some 3 s after a loss of power nobody knows the calls of a request, so chains begin that die at a cold deep service.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -48,10 +48,20 @@
 		// Follow hands each new state to take, until ctx ends. Any number of
 		// states may be missed; revisions only grow.
 		Follow(ctx context.Context, f Followers, take func(director.State)) error
-		// Join makes the node known and returns the members.
-		Join(ctx context.Context, self linker.Member) ([]linker.Member, error)
+		// Join makes the node known and returns what the directory knows.
+		Join(ctx context.Context, self linker.Member) (Known, error)
 		// Leave says that the node leaves for good.
 		Leave(ctx context.Context, self linker.Member) error
+		// Remember keeps fans for nodes that join.
+		Remember(ctx context.Context, fans map[string]linker.Fans) error
+	}
+
+	// Known is what a directory knows.
+	Known struct {
+		// Members are the nodes that have joined and not left.
+		Members []linker.Member
+		// Fans are those that were kept last, by route.
+		Fans map[string]linker.Fans
 	}
 
 	// Followers are the nodes that follow the directory.
@@ -286,9 +296,10 @@
 
 // join makes the node known.
 func (n *Node) join(ctx context.Context) error {
-	members, err := n.settings.Directory.Join(ctx, n.self)
+	known, err := n.settings.Directory.Join(ctx, n.self)
 	if err == nil {
-		n.linker.Introduce(members)
+		n.linker.Introduce(known.Members)
+		n.forwarder.Recall(known.Fans)
 		n.shares.Set(n.table.Load())
 	}
 	<-ctx.Done()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -237,7 +237,7 @@
 		return found
 	}
 	f.router.Prune(known)
-	maps.DeleteFunc(f.fans, func(name string, _ map[string]linker.Fans) bool { return !known(name) })
+	maps.DeleteFunc(f.fans, func(name string, _ map[string]linker.Fans) bool { return name != recalled && !known(name) })
 	maps.DeleteFunc(f.loads, func(name string, _ loadReport) bool { return !known(name) })
 }
 
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -278,3 +278,39 @@
 		t.Errorf("got the call sent to %v, want none", l.sent)
 	}
 }
+
+// TestChainsAfterALossOfAllNodes starts a node that nobody tells any fan: with those
+// that were kept it knows the calls of a chain before the first one runs.
+func TestChainsAfterALossOfAllNodes(t *testing.T) {
+	table := director.NewTable(director.State{Config: &director.Config{Routes: []director.Route{
+		{Name: "feed", Parts: []director.Part{{Service: "deep", Weight: 1}}},
+	}}})
+	known := func(f *Forwarder) float64 {
+		f.Table = func() *director.Table { return table }
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.refresh()
+		return f.tree("book", "desk")[branch{"feed", "deep"}].calls
+	}
+	before, l := newFixture(t, 3)
+	before.TakeFans(l.members[0], map[string]linker.Fans{"book": {Runs: 100, Calls: map[string]float64{"feed": 4}}, "rare": {Runs: 1}})
+	kept := before.Fans()
+	if len(kept) != 1 {
+		t.Errorf("got fans %v, want those of book alone", kept)
+	}
+	after, l := newFixture(t, 3)
+	if got := known(after); got != 0 {
+		t.Errorf("got %.1f calls before anything is known, want 0", got)
+	}
+	after.Recall(kept)
+	if got := known(after); got != 4 {
+		t.Errorf("got %.1f calls by what was kept, want 4", got)
+	}
+	after.TakeFans(l.members[0], map[string]linker.Fans{"book": {Runs: 990, Calls: map[string]float64{"feed": 2}}})
+	if got := known(after); got > 2.1 {
+		t.Errorf("got %.2f calls by what is seen now, want at most 2.1", got)
+	}
+	if got := after.Fans()["book"].Calls["feed"]; got > 2.1 {
+		t.Errorf("got %.2f calls to be kept, want at most 2.1", got)
+	}
+}
--- a/internal/linker/news.go
+++ b/internal/linker/news.go
@@ -234,7 +234,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
-	if now.Sub(l.fansChanged) < fansInterval || !fansDiffer(l.fans, fans) {
+	if now.Sub(l.fansChanged) < fansInterval || !FansDiffer(l.fans, fans) {
 		return false
 	}
 	l.fans = fans
@@ -243,8 +243,8 @@
 	return true
 }
 
-// fansDiffer reports whether any fan of two differs by what counts.
-func fansDiffer(told, present map[string]Fans) bool {
+// FansDiffer reports whether any fan of two differs by what counts.
+func FansDiffer(told, present map[string]Fans) bool {
 	return fansMissing(told, present) || fansMissing(present, told)
 }
 
--- a/internal/linker/news_test.go
+++ b/internal/linker/news_test.go
@@ -205,7 +205,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if got := fansDiffer(told, tt.present); got != tt.want {
+			if got := FansDiffer(told, tt.present); got != tt.want {
 				t.Errorf("got %t, want %t", got, tt.want)
 			}
 		})
