--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -68,6 +68,8 @@
 	Followers interface {
 		// Count returns their number.
 		Count() int
+		// Self reports whether this node is one of them.
+		Self() bool
 		// Suffice reports whether this node hears what is new from others.
 		Suffice() bool
 	}
@@ -358,6 +360,11 @@
 	return f.linker.Delegates().Count
 }
 
+// Self reports whether this node is one of them.
+func (f followers) Self() bool {
+	return f.linker.Delegates().Self()
+}
+
 // Suffice reports whether this node hears what is new from other nodes.
 func (f followers) Suffice() bool {
 	return f.linker.Followed()
