Expect the work of before at cold servers, in place of a surge seen by one node

Ruled out: a higher threshold (at 5 a cold service is overrun for half a second). Change: what nodes keep in the directory tells also what each service was offered; who joins when its servers bear less than half of that begins with an equal part of what they bear, for the second that reports lag.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -52,16 +52,16 @@
 		Join(ctx context.Context, self linker.Member) (Known, error)
 		// Leave says that the node leaves for good.
 		Leave(ctx context.Context, self linker.Member) error
-		// Remember keeps fans for nodes that join.
-		Remember(ctx context.Context, fans map[string]linker.Fans) error
+		// Remember keeps a memory for nodes that join.
+		Remember(ctx context.Context, m forwarder.Memory) error
 	}
 
 	// Known is what a directory knows.
 	Known struct {
 		// Members are the nodes that have joined and not left.
 		Members []linker.Member
-		// Fans are those that were kept last, by route.
-		Fans map[string]linker.Fans
+		// Memory is the one that was kept last.
+		Memory forwarder.Memory
 	}
 
 	// Followers are the nodes that follow the directory.
@@ -301,7 +301,7 @@
 	known, err := n.settings.Directory.Join(ctx, n.self)
 	if err == nil {
 		n.linker.Introduce(known.Members)
-		n.forwarder.Recall(known.Fans)
+		n.forwarder.Recall(known.Memory)
 		n.shares.Set(n.table.Load())
 	}
 	<-ctx.Done()
--- a/internal/composer/remember.go
+++ b/internal/composer/remember.go
@@ -4,45 +4,47 @@
 	"context"
 	"time"
 
-	"github.com/flamingotack/flamingotack/internal/linker"
+	"github.com/flamingotack/flamingotack/internal/forwarder"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
 
 const (
 	// rememberPoll is how often a node looks whether what is kept has changed, and
-	// rememberPause how long it waits after it has kept something.
+	// rememberPause how long it waits after its start, when it knows little, and after
+	// it has kept something.
 	rememberPoll    = 2 * time.Second
 	rememberPause   = 20 * time.Second
 	rememberTimeout = 2 * time.Second
 )
 
-// remember keeps the fans of all routes in the directory, for nodes that start when no
-// node is left that knows them, as after a loss of power. The first delegate of each
-// failure domain does.
+// remember keeps what nodes learn in the directory, for those that start when no node
+// is left that knows it, as after a loss of power. The first delegate of each failure
+// domain does.
 func (n *Node) remember(ctx context.Context) error {
-	var kept map[string]linker.Fans
+	var kept forwarder.Memory
+	timekeeper.Sleep(ctx, rememberPause)
 	for timekeeper.Sleep(ctx, rememberPoll) {
 		if !n.linker.Delegates().First() {
 			continue
 		}
-		fans := n.forwarder.Fans()
-		if len(fans) == 0 || !linker.FansDiffer(kept, fans) || !n.keepFans(ctx, fans) {
+		m := n.forwarder.Memory()
+		if len(m.Fans) == 0 || !m.Differs(&kept) || !n.keep(ctx, m) {
 			continue
 		}
-		kept = fans
+		kept = m
 		timekeeper.Sleep(ctx, rememberPause)
 	}
 	return nil
 }
 
-// keepFans writes the fans and reports whether that was done.
-func (n *Node) keepFans(ctx context.Context, fans map[string]linker.Fans) (kept bool) {
+// keep writes a memory and reports whether that was done.
+func (n *Node) keep(ctx context.Context, m forwarder.Memory) (kept bool) {
 	ctx, cancel := context.WithTimeout(ctx, rememberTimeout)
 	defer cancel()
-	if err := n.settings.Directory.Remember(ctx, fans); err != nil {
-		n.settings.Logger.Warnf("Can't keep the fans of %d routes: %v.", len(fans), err)
+	if err := n.settings.Directory.Remember(ctx, m); err != nil {
+		n.settings.Logger.Warnf("Can't keep the fans of %d routes: %v.", len(m.Fans), err)
 		return false
 	}
-	n.settings.Logger.Infof("Keeps the fans of %d routes.", len(fans))
+	n.settings.Logger.Infof("Keeps the fans of %d routes and the work of %d services.", len(m.Fans), len(m.Work))
 	return true
 }
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -139,6 +139,7 @@
 	if now.Sub(f.measured) < pressureInterval {
 		return
 	}
+	elapsed := now.Sub(f.measured)
 	f.measured = now
 	f.regulator.Nodes = len(f.members)
 	offered, bears, sound := map[string]float64{}, map[string]float64{}, map[string]float64{}
@@ -161,6 +162,7 @@
 			b = sound[service]
 		}
 		scale := max(1, f.samples[service])
+		f.remember(service, scale*offered[service], elapsed)
 		f.regulator.Report(now, service, scale*offered[service], scale*b)
 	}
 }
--- a/internal/forwarder/fans.go
+++ b/internal/forwarder/fans.go
@@ -1,9 +1,6 @@
 package forwarder
 
-import (
-	"github.com/flamingotack/flamingotack/internal/director"
-	"github.com/flamingotack/flamingotack/internal/linker"
-)
+import "github.com/flamingotack/flamingotack/internal/director"
 
 const (
 	// maxTreeDepth bounds the depth to which calls of calls are followed.
@@ -11,11 +8,6 @@
 	// leastRuns is the number of runs of a route, over all nodes, below which
 	// nothing is known of its calls.
 	leastRuns = 10
-	// recalledRuns is the number of runs that recalled fans count as, so that those of
-	// the present take over soon.
-	recalledRuns = leastRuns
-	// recalled stands for a node where recalled fans are kept.
-	recalled = ""
 	// leastCalls is the mean number of calls below which a part of a tree is
 	// not followed.
 	leastCalls = 0.01
@@ -36,36 +28,6 @@
 	}
 )
 
-// Fans returns the mean number of calls that a run of each route makes, over the runs
-// of all nodes. Routes are left out of which too few have run.
-func (f *Forwarder) Fans() map[string]linker.Fans {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	runs := map[string]float64{}
-	for name, m := range f.fans {
-		for route, fans := range m {
-			if name != recalled {
-				runs[route] += fans.Runs
-			}
-		}
-	}
-	all := map[string]linker.Fans{}
-	for route, n := range runs {
-		if n >= leastRuns {
-			all[route] = linker.Fans{Runs: recalledRuns, Calls: f.meanFans(route)}
-		}
-	}
-	return all
-}
-
-// Recall takes fans that were kept before this node started.
-func (f *Forwarder) Recall(fans map[string]linker.Fans) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.fans[recalled] = fans
-	clear(f.trees)
-}
-
 // meanFans returns the mean number of calls that a run of a route makes, by
 // route, over the runs of all nodes; none while too few have run. The caller
 // holds the lock.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -77,6 +77,8 @@
 		// routes that by route, as seen here.
 		held   map[string]time.Duration
 		routes averager.ByKind
+		// work is what services are offered by all nodes, in slots.
+		work map[string]float64
 		// refused are the digests of refused requests and when that was.
 		refused map[uint64]time.Time
 	}
@@ -126,6 +128,7 @@
 		trees:     map[branch]map[branch]need{},
 		loads:     map[string]loadReport{},
 		held:      map[string]time.Duration{},
+		work:      map[string]float64{},
 		refused:   map[uint64]time.Time{},
 	}
 }
--- a/internal/regulator/regulator.go
+++ b/internal/regulator/regulator.go
@@ -28,11 +28,11 @@
 	// onset is how far above the target the pressure is from which on a service
 	// is short.
 	onset = 0.1
-	// surge is the work that a service is offered if all nodes admit as much as this
-	// one, in parts of what the servers bear, from which on the service is short
-	// before the servers tell of it.
-	surge  = 1.5
-	spread = 0.7
+	// surge is the expected work, in parts of what the servers bear, from which on a
+	// service is short before its servers tell of it, and expectTime how long after
+	// the first report that holds.
+	surge      = 2
+	expectTime = 3 * time.Second
 	// seenFrom and seenTo bound how long ago the budgets were in force whose
 	// effect a report shows: calls take time to reach the guards, and guards
 	// average.
@@ -102,12 +102,15 @@
 		paid     time.Time
 		reported time.Time
 		refused  time.Time
+		// expected is the work that is expected until expectEnd, which is set by
+		// the first report.
+		expected  float64
+		expectEnd time.Time
 		// held is until when the budget does not grow, as the reports don't show
 		// yet what made the service short.
 		held time.Time
-		// admitted is the work that was admitted here, and count the number of
-		// requests.
-		admitted, count averager.Sum
+		// admitted is the work that was admitted here.
+		admitted averager.Sum
 	}
 )
 
@@ -136,7 +139,6 @@
 	for service, cost := range costs {
 		v := r.valves[service]
 		v.admitted.Add(now, admittedTime, cost)
-		v.count.Add(now, admittedTime, 1)
 		if v.short {
 			v.saved -= cost
 		}
@@ -144,6 +146,12 @@
 	return true
 }
 
+// Expect takes the work, in slots, that a service will be offered once its servers
+// come back, as after a loss of power, when they tell of none yet.
+func (r *Regulator) Expect(now time.Time, service string, work float64) {
+	r.valve(now, service).expected = work
+}
+
 // Retract takes back an admission of a request that does not begin its chain after
 // all. The arguments are those of Admit.
 func (r *Regulator) Retract(now time.Time, route string, costs map[string]float64) {
@@ -153,7 +161,6 @@
 		v := r.valve(now, service)
 		v.pay(now)
 		v.admitted.Add(now, admittedTime, -cost)
-		v.count.Add(now, admittedTime, -1)
 		if v.short {
 			v.saved = min(v.saved+cost, v.most())
 		}
@@ -172,9 +179,10 @@
 	pressure := offered / v.bears
 	target := v.target()
 	own := v.admitted.At(now, admittedTime) / admittedTime.Seconds()
-	if expected := own * float64(max(1, r.Nodes)) / v.bears; !v.short && expected > pressure && v.certainty(now)*expected > surge {
-		pressure = expected
+	if expected := v.expectedAt(now) / v.bears; !v.short && expected > max(pressure, surge) {
+		v.begin(now, target/float64(max(1, r.Nodes)), expected)
 		v.held = now.Add(seenFrom)
+		return
 	}
 	least := leastPart / float64(max(1, r.Nodes))
 	switch {
@@ -224,15 +232,15 @@
 	}
 }
 
-// certainty returns the part of what was admitted here that is hardly chance: the
-// standard error of a count is its square root, which one count in four exceeds by
-// spread.
-func (v *valve) certainty(now time.Time) float64 {
-	count := v.count.At(now, admittedTime)
-	if count <= 1 {
-		return 0
+// expectedAt returns the work that is expected.
+func (v *valve) expectedAt(now time.Time) float64 {
+	if v.expectEnd.IsZero() {
+		v.expectEnd = now.Add(expectTime)
+	}
+	if now.After(v.expectEnd) {
+		v.expected = 0
 	}
-	return 1 - spread/math.Sqrt(count)
+	return v.expected
 }
 
 // seen returns the mean budget of the time whose effect is reported now.
