Keep a failing server failing until calls end well there again

Change: a failing server is sound after 12 runs in a row that end well, or 10 s without a bad one; 2 % of the calls go to failing servers so that there are such runs. Test: TestServerThatTurnsMostCallsAway, now with few calls and with a recovery; it takes the place of the one that wanted a server to be sound 10 s after its last call, whatever came before, and still wants that.

--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -1,6 +1,5 @@
-// Package assessor judges by its latest runs how likely a call ends well on a backend
-// server. It knows no clock and does no input or output; an Assessor is not safe for
-// concurrent use.
+// Package assessor judges by its latest runs whether a backend server is sound. It knows
+// no clock and does no input or output; an Assessor is not safe for concurrent use.
 package assessor
 
 import (
@@ -21,44 +20,61 @@
 )
 
 const (
-	// memory is the time after which a run counts a third. A server that gets no
-	// calls is so tried again after some seconds.
+	// memory is the time after which a run counts a third.
 	memory = time.Second
 	// presumed is the number of runs that are presumed to have ended well before
 	// the first one.
 	presumed = 4
-	// SoundBelow is the part of the runs that end badly from which on a server is
-	// not sound: others go first as long as they have room.
-	SoundBelow = 0.2
+	// failingFrom is the part of the runs that end badly from which on a server is
+	// failing.
+	failingFrom = 0.2
+	// proof is the number of runs in a row that have to end well for a failing server
+	// to be sound again.
+	proof = 12
+	// pardon is how long after its last bad run a failing server is sound again that
+	// gets too few calls for a proof.
+	pardon = 10 * time.Second
 )
 
 type (
 	// End is how a run ended.
 	End int
 
-	// Assessor keeps the latest runs. The zero Assessor has seen none.
+	// Assessor keeps the latest runs. The zero Assessor has seen none and takes the
+	// server for sound.
 	Assessor struct {
 		badly, all averager.Sum
+		failing    bool
+		// streak is the number of runs in a row that ended well, and last when one
+		// last ended badly.
+		streak int
+		last   time.Time
 	}
 )
 
 // Take takes the end of a run.
 func (a *Assessor) Take(now time.Time, e End) {
-	if e == EndUnclear {
+	switch e {
+	case EndWell:
+		a.streak++
+	case EndBadly:
+		a.streak = 0
+		a.last = now
+		a.badly.Add(now, memory, 1)
+	default:
 		return
 	}
 	a.all.Add(now, memory, 1)
-	if e == EndBadly {
-		a.badly.Add(now, memory, 1)
+	switch part := a.badly.At(now, memory) / (a.all.At(now, memory) + presumed); {
+	case part >= failingFrom:
+		a.failing = true
+	case a.streak >= proof:
+		a.failing = false
 	}
 }
 
-// Failing returns the part of the runs that end badly, from 0 to below 1.
-func (a *Assessor) Failing(now time.Time) float64 {
-	return a.badly.At(now, memory) / (a.all.At(now, memory) + presumed)
-}
-
-// Sound reports whether a server of which a part of the runs ends badly is sound.
-func Sound(failing float64) bool {
-	return failing < SoundBelow
+// Failing reports whether many runs end badly. Others should go first as long as they
+// have room.
+func (a *Assessor) Failing(now time.Time) bool {
+	return a.failing && now.Sub(a.last) < pardon
 }
--- a/internal/assessor/assessor_test.go
+++ b/internal/assessor/assessor_test.go
@@ -7,43 +7,59 @@
 )
 
 // TestServerThatTurnsMostCallsAway is a server that refuses a part of its calls at
-// once while it has room: it is known as failing within a second, stays so while it
-// gets calls, and is tried again some seconds after the last one.
+// once while it has room: it is known as failing within a second and stays so, also
+// when it gets few calls from then on, until calls end well again or none has come for
+// long.
 func TestServerThatTurnsMostCallsAway(t *testing.T) {
+	const seldom = 500 * time.Millisecond
 	tests := []struct {
 		name string
 		// every is the time between two calls, badly the part that ends badly.
-		every time.Duration
-		badly float64
-		// sound is what the server is to be after a second and later.
-		sound bool
+		every   time.Duration
+		badly   float64
+		failing bool
 	}{
-		{"a fifth of a percent, as ever", 10 * time.Millisecond, 0.002, true},
-		{"five in a hundred", 10 * time.Millisecond, 0.05, true},
-		{"half of many", 10 * time.Millisecond, 0.55, false},
-		{"half of a few", 50 * time.Millisecond, 0.55, false},
-		{"all", 50 * time.Millisecond, 1, false},
+		{"a fifth of a percent, as ever", 10 * time.Millisecond, 0.002, false},
+		{"five in a hundred", 10 * time.Millisecond, 0.05, false},
+		{"half of many", 10 * time.Millisecond, 0.55, true},
+		{"half of a few", 50 * time.Millisecond, 0.55, true},
+		{"all", 50 * time.Millisecond, 1, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(1, 2))
 			a := &Assessor{}
 			now := time.Unix(1_000_000, 0)
-			begun := now
-			for now.Sub(begun) < 10*time.Second {
-				now = now.Add(tt.every)
+			run := func(every time.Duration, badly float64) {
+				now = now.Add(every)
 				e := EndWell
-				if random.Float64() < tt.badly {
+				if random.Float64() < badly {
 					e = EndBadly
 				}
 				a.Take(now, e)
 				a.Take(now, EndUnclear)
-				if got := Sound(a.Failing(now)); now.Sub(begun) > time.Second && got != tt.sound {
-					t.Fatalf("got sound %t after %s, want %t", got, now.Sub(begun), tt.sound)
+			}
+			for begun := now; now.Sub(begun) < 3*time.Second; {
+				run(tt.every, tt.badly)
+				if got := a.Failing(now); now.Sub(begun) > time.Second && got != tt.failing {
+					t.Fatalf("got failing %t after %s, want %t", got, now.Sub(begun), tt.failing)
+				}
+			}
+			for begun := now; now.Sub(begun) < 10*time.Second; {
+				run(seldom, tt.badly)
+				if got := a.Failing(now); tt.failing && !got {
+					t.Fatalf("got sound with few calls, want failing as long as they end badly")
 				}
 			}
-			if got := a.Failing(now.Add(10 * time.Second)); !Sound(got) {
-				t.Errorf("got %.2f failing 10 s after the last call, want less than %.2f", got, SoundBelow)
+			forgotten := *a
+			if forgotten.Failing(now.Add(pardon)) {
+				t.Errorf("got failing %s after the last call, want sound", pardon)
+			}
+			for range proof {
+				run(tt.every, 0)
+			}
+			if a.Failing(now) {
+				t.Errorf("got failing after %d calls that ended well, want sound", proof)
 			}
 		})
 	}
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -6,7 +6,6 @@
 
 	"github.com/zeebo/xxh3"
 
-	"github.com/flamingotack/flamingotack/internal/assessor"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/guardian"
 	"github.com/flamingotack/flamingotack/internal/retrier"
@@ -150,8 +149,8 @@
 		}
 		offered[r.service] += r.load.Offered
 		bears[r.service] += r.load.Bears
-		if assessor.Sound(r.load.Failing) {
-			sound[r.service] += r.load.Bears * (1 - r.load.Failing)
+		if !r.load.Failing {
+			sound[r.service] += r.load.Bears
 		}
 		held[r.service] += r.load.Service
 		count[r.service]++
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/flamingotack/flamingotack/internal/assessor"
 	"github.com/flamingotack/flamingotack/internal/averager"
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
@@ -308,7 +307,7 @@
 		Queued:      l.Queued,
 		Shed:        exchanger.PriorityLow,
 		Draining:    l.Closed,
-		Failing:     !assessor.Sound(l.Failing),
+		Failing:     l.Failing,
 	}
 }
 
--- a/internal/guardian/gate.go
+++ b/internal/guardian/gate.go
@@ -148,16 +148,16 @@
 
 // leave says that the call has ended. good tells that its time is that of a
 // whole answer, end what it tells about the server. It reports whether the server is
-// or is not sound any more by that.
+// or is not failing any more by that.
 func (p *pass) leave(good bool, end assessor.End) (turned bool) {
 	g := p.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	g.running--
-	before := assessor.Sound(g.assessor.Failing(now))
+	before := g.assessor.Failing(now)
 	g.assessor.Take(now, end)
-	turned = before != assessor.Sound(g.assessor.Failing(now))
+	turned = before != g.assessor.Failing(now)
 	if good {
 		g.services.Add(now, p.route, now.Sub(p.started))
 	}
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -49,9 +49,8 @@
 		// would occupy, and Bears the work that its server bears; for a cold
 		// one that can be less than one slot.
 		Offered, Bears float64
-		// Failing is the part of the runs that end badly for a cause of the
-		// server.
-		Failing float64
+		// Failing says that many runs end badly for a cause of the server.
+		Failing bool
 		// Closed says that the node takes no new work for its server.
 		Closed bool
 		// Service is the mean time that a call takes.
--- a/internal/guardian/guardian_test.go
+++ b/internal/guardian/guardian_test.go
@@ -354,20 +354,19 @@
 // the fault of those and tells nothing.
 func TestServersThatFailAreTold(t *testing.T) {
 	tests := []struct {
-		name  string
-		calls bool
-		serve http.HandlerFunc
-		// failing is the least that the load is to say; 0 for a sound server.
-		failing float64
+		name    string
+		calls   bool
+		serve   http.HandlerFunc
+		failing bool
 	}{
-		{"answers", false, sealed, 0},
+		{"answers", false, sealed, false},
 		{"turns calls away", true, func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Not-Run", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
-		}, 0.5},
-		{"fails", false, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, 0.5},
-		{"fails in a run that makes calls", true, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, 0},
-		{"breaks off", true, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, 0.5},
+		}, true},
+		{"fails", false, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, true},
+		{"fails in a run that makes calls", true, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, false},
+		{"breaks off", true, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -379,12 +378,11 @@
 			for i := range 12 {
 				_, _ = f.HandleCall(t.Context(), f.call(fmt.Sprint(i)))
 			}
-			got := f.Load().Failing
-			if got < tt.failing || tt.failing == 0 && got > 0 {
-				t.Errorf("got %.2f failing, want %.2f at least, or none", got, tt.failing)
+			if got := f.Load().Failing; got != tt.failing {
+				t.Errorf("got failing %t, want %t", got, tt.failing)
 			}
-			if want := tt.failing > 0; (told == 1) != want {
-				t.Errorf("got told %d times, want once: %t", told, want)
+			if (told == 1) != tt.failing {
+				t.Errorf("got told %d times, want once: %t", told, tt.failing)
 			}
 		})
 	}
--- a/internal/linker/convert.go
+++ b/internal/linker/convert.go
@@ -89,7 +89,7 @@
 		ServiceMicros: l.Service.Microseconds(),
 		Offered:       float32(l.Offered),
 		Bears:         float32(l.Bears),
-		Failing:       float32(l.Failing),
+		Failing:       l.Failing,
 	}
 }
 
@@ -157,7 +157,7 @@
 		Service:  time.Duration(m.GetServiceMicros()) * time.Microsecond,
 		Offered:  float64(m.GetOffered()),
 		Bears:    float64(m.GetBears()),
-		Failing:  float64(m.GetFailing()),
+		Failing:  m.GetFailing(),
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -43,6 +43,9 @@
 	loadLife = 5 * time.Second
 	// defaultSpill stands for a Spill that is not set.
 	defaultSpill = 0.8
+	// trickle is the part of the calls that failing nodes get in any case, so that
+	// it is seen when they are not any more.
+	trickle = 0.02
 	// overfull is the part of their capacity in use from which on nodes that are not
 	// failing are full, queues included, so that failing ones get work as well.
 	overfull = 1.2
@@ -142,7 +145,12 @@
 	if r.sheds(now, p) {
 		return Candidate{}, VerdictShed
 	}
-	picked := r.choose(random, r.circle(now, p))
+	sound := r.sound()
+	choices := r.circle(now, p, sound)
+	if failing := r.usable[len(sound):]; len(failing) > 0 && random.Float64() < trickle {
+		choices = failing
+	}
+	picked := r.choose(random, choices)
 	picked.node.start()
 	return picked.candidate, VerdictPicked
 }
@@ -177,12 +185,12 @@
 	return first
 }
 
-// circle returns the usable nodes of the narrowest circle that has room.
-func (r *Router) circle(now time.Time, p exchanger.Priority) []choice {
+// circle returns the sound nodes of the narrowest circle that has room, or all usable
+// ones.
+func (r *Router) circle(now time.Time, p exchanger.Priority, sound []choice) []choice {
 	limit, load := 0.0, 0.0
 	spill := cmp.Or(r.Spill, defaultSpill)
 	end := 0
-	sound := r.sound()
 	for c := circleDomain; c <= circleAll; c++ {
 		for end < len(sound) && sound[end].circle == c {
 			one := &sound[end]
