Wait for the answer of a node that is only silent where nothing may run twice

Operators of similar systems saw running work given up, or started again elsewhere, because a machine was silent for a while. Here as well: after 1.3 s of silence a link was closed, its calls ended as unknown with 502, and the answers of a node that had only been paused were lost. Change: a silent session gets no new calls and another one is set up; calls that may be repeated end, and are canceled once the node hears again; the others wait for their answers until their deadlines.

--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -49,6 +49,8 @@
 	// pending is an exchange whose answer is due.
 	pending struct {
 		session *session
+		// repeatable says that the exchange may be made again elsewhere.
+		repeatable bool
 		// done takes one result.
 		done chan result
 		// partial is an answer of which more is to come.
@@ -68,7 +70,7 @@
 }
 
 func (k *link) ask(ctx context.Context, a *framer.Ask) (granted int64) {
-	number, p := k.begin()
+	number, p := k.begin(true)
 	if p == nil {
 		return 0
 	}
@@ -85,7 +87,7 @@
 }
 
 // begin registers an exchange; nil while the link is down.
-func (k *link) begin() (number uint64, p *pending) {
+func (k *link) begin(repeatable bool) (number uint64, p *pending) {
 	s := k.current.Load()
 	if s == nil {
 		return 0, nil
@@ -93,7 +95,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.number++
-	p = &pending{session: s, done: make(chan result, 1)}
+	p = &pending{session: s, repeatable: repeatable, done: make(chan result, 1)}
 	k.pending[k.number] = p
 	return k.number, p
 }
@@ -127,7 +129,8 @@
 		s.put(&framer.Frame{Ping: true})
 	case quiet > silentAfter && now.Sub(k.pinged) > silentAfter-pingAfter:
 		k.owner.logger.Warnf("Link to node %s is silent for %s.", k.member.Name, quiet)
-		s.close()
+		k.retire(s)
+		return
 	}
 	if now.Sub(k.told) >= newsInterval {
 		k.told = now
@@ -143,26 +146,36 @@
 		return false
 	}
 	conn := drpcconn.NewWithOptions(socket, drpcconn.Options{Manager: managerOptions()})
-	defer func() { _ = conn.Close() }()
 	stream, err := framer.NewDRPCMeshClient(conn).Link(ctx)
 	if err != nil {
+		_ = conn.Close()
 		return false
 	}
 	s := newSession(k.owner.clock, stream, func() { socket.Close() })
-	defer k.down(s)
 	s.put(k.owner.currentNews())
 	k.begun(s)
 	k.owner.logger.Infof("Link to node %s stands.", k.member.Name)
 	go s.write()
-	s.read(func(f *framer.Frame) { k.take(s, f) })
+	ended := make(chan struct{})
+	k.owner.running.Go(func() {
+		defer close(ended)
+		defer func() { _ = conn.Close() }()
+		defer k.down(s)
+		s.read(func(f *framer.Frame) { k.take(s, f) })
+	})
+	select {
+	case <-ended:
+	case <-s.retired:
+	}
 	return true
 }
 
 // down ends what waits on a session.
 func (k *link) down(s *session) {
-	k.current.CompareAndSwap(s, nil)
-	k.owner.version.Add(1)
-	k.downs.Add(1)
+	if k.current.CompareAndSwap(s, nil) {
+		k.owner.version.Add(1)
+		k.downs.Add(1)
+	}
 	k.owner.Lost.Add(1)
 	unsent := s.close()
 	k.mu.Lock()
@@ -174,7 +187,7 @@
 		}
 		failed++
 		delete(k.pending, number)
-		refusal := exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonSilent, "the connection to node %s broke or went silent", k.member.Name)
+		refusal := k.silent()
 		if unsent[number] {
 			refusal = unreachable(k.member.Name)
 		}
@@ -186,7 +199,10 @@
 func (k *link) end(number uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	delete(k.pending, number)
+	if p := k.pending[number]; p != nil {
+		delete(k.pending, number)
+		k.releaseRetired(p.session)
+	}
 }
 
 // follows reports whether the node can be reached and has told within followLife that
@@ -227,7 +243,7 @@
 }
 
 func (k *link) send(ctx context.Context, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
-	number, p := k.begin()
+	number, p := k.begin(c.Repeatable)
 	if p == nil {
 		return nil, unreachable(k.member.Name)
 	}
@@ -316,5 +332,6 @@
 		return
 	}
 	delete(k.pending, f.GetNumber())
+	k.releaseRetired(p.session)
 	p.done <- result{reply: p.partial, refusal: toRefusal(f), granted: max(0, f.GetGrant())}
 }
--- a/internal/linker/session.go
+++ b/internal/linker/session.go
@@ -33,6 +33,10 @@
 		heard  atomic.Int64
 		begun  time.Time
 
+		// retired is closed when the session gets no new exchanges because the
+		// other side is silent.
+		retired chan struct{}
+
 		mu     sync.Mutex
 		queue  []*framer.Frame
 		closed bool
@@ -50,7 +54,7 @@
 
 // newSession returns a session that abort ends at once.
 func newSession(clock timekeeper.Clock, st stream, abort func()) *session {
-	return &session{clock: clock, stream: st, abort: abort, begun: clock.Now(), wake: make(chan struct{}, 1)}
+	return &session{clock: clock, stream: st, abort: abort, begun: clock.Now(), wake: make(chan struct{}, 1), retired: make(chan struct{})}
 }
 
 // close ends the session and returns the numbers of the exchanges that were
@@ -72,6 +76,23 @@
 	return unsent
 }
 
+// ended reports whether the session is closed.
+func (s *session) ended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+// isRetired reports whether the session gets no new exchanges.
+func (s *session) isRetired() bool {
+	select {
+	case <-s.retired:
+		return true
+	default:
+		return false
+	}
+}
+
 // heardAt returns when the other side last sent something.
 func (s *session) heardAt() time.Time {
 	return s.begun.Add(time.Duration(s.heard.Load()))
