--- a/internal/composer/meters.go
+++ b/internal/composer/meters.go
@@ -22,5 +22,34 @@
 			return err
 		}
 	}
-	return n.settings.Meter.WatchLevel("flamingotack.connections.open", "Connections of callers.", func() int64 { return int64(n.acceptor.Open()) })
+	for _, l := range []struct {
+		name, description string
+		value             func() int64
+	}{
+		{"flamingotack.connections.open", "Connections of callers.", func() int64 { return int64(n.acceptor.Open()) }},
+		{"flamingotack.links.up", "Links to other nodes that stand.", func() int64 { return int64(n.linker.Standing()) }},
+		{"flamingotack.server.failing", "1 while many runs on the backend server end badly.", n.failing},
+		{"flamingotack.delegate", "1 on a node that holds rates and follows the directory for others.", n.delegate},
+	} {
+		if err := n.settings.Meter.WatchLevel(l.name, l.description, l.value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *Node) failing() int64 {
+	return flag(n.guardian.Failing())
+}
+
+func (n *Node) delegate() int64 {
+	return flag(n.linker.Delegates().Self())
+}
+
+// flag returns 1 for true.
+func flag(set bool) int64 {
+	if set {
+		return 1
+	}
+	return 0
 }
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -106,7 +106,7 @@
 	}
 	reply, refusal := g.send(ctx, c)
 	if p.leave(refusal == nil && reply.Status < http.StatusInternalServerError, g.end(c, reply, refusal)) {
-		g.Changed()
+		g.turned()
 	}
 	return reply, refusal
 }
@@ -200,6 +200,22 @@
 	}
 }
 
+// turned tells that the server is failing, or is not any more.
+func (g *Guardian) turned() {
+	id, failing := g.instance(), g.Failing()
+	if failing {
+		g.Logger.Warnf("Backend server %s is failing: many runs end badly.", id)
+	} else {
+		g.Logger.Infof("Backend server %s is sound again.", id)
+	}
+	g.Changed()
+}
+
+// Failing reports whether many runs on the backend server end badly.
+func (g *Guardian) Failing() bool {
+	return g.Load().Failing
+}
+
 // log tells what became of a call that was sent to the server.
 func (g *Guardian) log(c *exchanger.Call, id string, started time.Time, r *exchanger.Refusal) {
 	g.Logger.Decision(logger.Decision{
--- a/internal/linker/fleet_test.go
+++ b/internal/linker/fleet_test.go
@@ -66,22 +66,12 @@
 	return names
 }
 
-// up returns the number of links that stand.
-func (n *node) up() (count int) {
-	for _, p := range n.Peers() {
-		if p.Up {
-			count++
-		}
-	}
-	return count
-}
-
 // TestLinksDoNotFollowTheFleet is a deployment with more nodes than a node links to:
 // all know each other, each has enough links and not one to everybody, and a new
 // configuration reaches all.
 func TestLinksDoNotFollowTheFleet(t *testing.T) {
 	nodes := startFleet(t)
-	awaitAll(t, nodes, func(n *node) bool { return n.up() >= selector.Linked-1 })
+	awaitAll(t, nodes, func(n *node) bool { return n.Standing() >= selector.Linked-1 })
 	for _, n := range nodes {
 		delegates := n.Delegates()
 		want := selector.Linked + len(delegates.Names[n.member.Domain])
@@ -119,7 +109,7 @@
 func TestOtherLinksReplaceThoseThatCannotBeUsed(t *testing.T) {
 	nodes := startFleet(t)
 	first := nodes[0]
-	await(t, func() bool { return first.up() >= selector.Linked-1 })
+	await(t, func() bool { return first.Standing() >= selector.Linked-1 })
 	wanted := first.wanted()
 	for _, n := range nodes {
 		if wanted[n.member.Name] {
--- a/internal/linker/members.go
+++ b/internal/linker/members.go
@@ -129,6 +129,16 @@
 	return list
 }
 
+// Standing returns the number of links that stand.
+func (l *Linker) Standing() (count int) {
+	for _, p := range l.Peers() {
+		if p.Up {
+			count++
+		}
+	}
+	return count
+}
+
 // changedMembers says that the members have changed. The caller holds the lock.
 func (l *Linker) changedMembers() {
 	l.changed++
