Find routes by the lengths of their prefixes

Cause: a look-up walked all routes of its host, longest first, so that a configuration that has grown by thousands of routes costs each request and each call of its chain. Change: routes by prefix, one look-up for each length of a prefix.

--- a/internal/director/table.go
+++ b/internal/director/table.go
@@ -23,7 +23,7 @@
 		// State is what the table was made of.
 		State State
 
-		hosts     map[string][]*Route
+		hosts     map[string]*prefixes
 		customers map[string]*Customer
 		owners    map[string]*Customer
 		services  map[string]*Service
@@ -35,7 +35,7 @@
 func NewTable(s State) *Table {
 	t := &Table{
 		State:     s,
-		hosts:     map[string][]*Route{},
+		hosts:     map[string]*prefixes{},
 		customers: map[string]*Customer{},
 		owners:    map[string]*Customer{},
 		services:  map[string]*Service{},
@@ -46,12 +46,12 @@
 	}
 	for i := range s.Config.Routes {
 		r := &s.Config.Routes[i]
-		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+		if t.hosts[r.Host] == nil {
+			t.hosts[r.Host] = &prefixes{routes: map[string]*Route{}}
+		}
+		t.hosts[r.Host].add(r)
 		t.names[r.Name] = r
 	}
-	for _, routes := range t.hosts {
-		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
-	}
 	for i := range s.Config.Customers {
 		c := &s.Config.Customers[i]
 		t.customers[c.Name] = c
@@ -106,13 +106,12 @@
 // Route returns the route with the longest prefix of the target's path; nil
 // without one.
 func (t *Table) Route(host, target string) *Route {
-	path, _, _ := strings.Cut(target, "?")
-	for _, r := range t.hosts[strings.ToLower(withoutPort(host))] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r
-		}
+	known := t.hosts[strings.ToLower(withoutPort(host))]
+	if known == nil {
+		return nil
 	}
-	return nil
+	path, _, _ := strings.Cut(target, "?")
+	return known.longest(path)
 }
 
 // Service returns the service of that name; nil for an unknown one.
--- a/internal/director/table_test.go
+++ b/internal/director/table_test.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -86,3 +87,57 @@
 		})
 	}
 }
+
+// manyRoutes is a configuration that has grown by many routes of one host.
+func manyRoutes(count int) *Config {
+	c := testConfig()
+	for i := range count {
+		c.Routes = append(c.Routes, Route{
+			Name: fmt.Sprint("added", i), Host: "a.example", Prefix: fmt.Sprintf("/added%d/", i),
+			Kind: KindIdempotent, Parts: c.Routes[0].Parts, Timeout: time.Second, Attempts: 1,
+		})
+	}
+	return c
+}
+
+// TestRoutesOfALargeConfiguration finds the first, the last and the longest of many.
+func TestRoutesOfALargeConfiguration(t *testing.T) {
+	const count = 10_000
+	table := NewTable(State{Revision: 1, Config: manyRoutes(count)})
+	for target, want := range map[string]string{
+		"/added0/x":              "added0",
+		"/added9999/x":           "added9999",
+		"/added99/x":             "added99",
+		"/added10000/x":          "root",
+		"/slots/deep/added0/":    "deep",
+		"/added9999?/added9998/": "root",
+	} {
+		if got := table.Route("a.example", target); got == nil || got.Name != want {
+			t.Errorf("%s: got route %v, want %s", target, got, want)
+		}
+	}
+}
+
+func BenchmarkRoute(b *testing.B) {
+	for _, count := range []int{10, 1_000, 10_000} {
+		table := NewTable(State{Revision: 1, Config: manyRoutes(count)})
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			for b.Loop() {
+				if table.Route("a.example", "/slots/7") == nil {
+					b.Fatal("got no route")
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkNewTable(b *testing.B) {
+	for _, count := range []int{10, 1_000, 10_000} {
+		s := State{Revision: 1, Config: manyRoutes(count)}
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			for b.Loop() {
+				NewTable(s)
+			}
+		})
+	}
+}
