End pauses of borrowing while requests come

Found by reading the diff. Callers saw: a customer whose tokens were used up at a node without a part was refused there for as long as it sent a request each 160 ms or more. Cause: each request during a pause prolonged it. Test: TestPausesEndWhileRequestsCome, refused for a second and more before.

--- a/internal/admitter/rates.go
+++ b/internal/admitter/rates.go
@@ -167,7 +167,10 @@
 // that. Those that gave some last time are asked first (the idea of asking the fullest,
 // as idle workers do that look for work to steal).
 func (s *Shares) borrow(ctx context.Context, u use, h *holders, enough func() bool) bool {
-	names := s.toAsk(u.name, h)
+	names, paused := s.toAsk(u.name, h)
+	if paused {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	atOnce := 1
@@ -189,15 +192,15 @@
 	return false
 }
 
-// toAsk returns the holders to ask now; none during a pause.
-func (s *Shares) toAsk(name string, h *holders) []string {
+// toAsk returns the holders to ask now, or that nobody is asked during a pause.
+func (s *Shares) toAsk(name string, h *holders) (names []string, paused bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.clock.Now().Before(s.pauses[name].until) {
-		return nil
+		return nil, true
 	}
-	names := s.order(name, h)
-	return names[:min(maxAsked, len(names))]
+	names = s.order(name, h)
+	return names[:min(maxAsked, len(names))], false
 }
 
 // askAll asks nodes at the same time for tokens, in thousandths, and takes what they
--- a/internal/admitter/rates_test.go
+++ b/internal/admitter/rates_test.go
@@ -157,3 +157,34 @@
 		})
 	}
 }
+
+// TestPausesEndWhileRequestsCome guards against a customer that is refused for as long as
+// it sends: its tokens are used up at a node without a part, and then there are some.
+func TestPausesEndWhileRequestsCome(t *testing.T) {
+	const every = 50 * time.Millisecond
+	customer := director.Customer{Name: "pond", Rate: 10, Burst: 10}
+	f := newRateFleet(302, 5, customer)
+	outsider := ""
+	for _, name := range f.names {
+		if !f.delegates.Has(name, f.domains[name]) {
+			outsider = name
+		}
+	}
+	for f.shares[outsider].Charge(t.Context(), &customer) {
+	}
+	admitted, refused := 0, 0
+	for range int(10 * time.Second / every) {
+		f.clock.Advance(every)
+		if f.shares[outsider].Charge(t.Context(), &customer) {
+			admitted++
+			refused = 0
+			continue
+		}
+		if refused++; refused > int(time.Second/every) {
+			t.Fatalf("got no request admitted for %s, want some of 10 a second", time.Duration(refused)*every)
+		}
+	}
+	if admitted < 80 {
+		t.Errorf("got %d requests admitted in 10 s, want at least 80 of 100", admitted)
+	}
+}
