Send calls only over links that were chosen for them

Found by reading the diff. Cause: links to delegates counted as links to nodes of their services, so delegates had all nodes of their failure domain as callers, and what a service was offered was worked out from more nodes than it was scaled by. Test: TestLinksThatAreNotForCalls, in which calls went there before.

--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -132,8 +132,8 @@
 	f.routes.Add(f.Clock.Now(), route, held)
 }
 
-// measure works out the pressure on each service, by the nodes that this one links
-// to. The caller holds the lock.
+// measure works out the pressure on each service, by the nodes that were chosen for
+// calls. The caller holds the lock.
 func (f *Forwarder) measure(now time.Time) {
 	if now.Sub(f.measured) < pressureInterval {
 		return
@@ -143,8 +143,8 @@
 	f.regulator.Nodes = len(f.members)
 	offered, bears, sound := map[string]float64{}, map[string]float64{}, map[string]float64{}
 	held, count := map[string]time.Duration{}, map[string]int{}
-	for _, r := range f.loads {
-		if r.load.Closed || now.Sub(r.taken) > loadLife {
+	for name, r := range f.loads {
+		if !f.chosen[name] || r.load.Closed || now.Sub(r.taken) > loadLife {
 			continue
 		}
 		offered[r.service] += r.load.Offered
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -57,9 +57,11 @@
 		// crowds are the nodes of each service that calls may be sent to.
 		crowds  map[string][]router.Candidate
 		members map[string]linker.Member
-		// services are the nodes of each service, linked to or not, and samples
-		// how many there are for each one that this node links to.
+		// services are the nodes of each service, linked to or not, chosen those
+		// that calls may be sent to, and samples how many nodes of a service there
+		// are for each chosen one.
 		services map[string][]string
+		chosen   map[string]bool
 		samples  map[string]float64
 		changed  uint64
 		// fans is what nodes told of their backend servers' calls, by node and
@@ -219,19 +221,22 @@
 	f.members = map[string]linker.Member{}
 	f.crowds = map[string][]router.Candidate{}
 	f.services = map[string][]string{}
-	linked := map[string]int{}
+	f.chosen = map[string]bool{}
+	counts := map[string]int{}
 	for _, p := range append(f.Links.Peers(), linker.Peer{Member: f.Self, Chosen: true, Up: true}) {
 		f.members[p.Name] = p.Member
 		f.services[p.Service] = append(f.services[p.Service], p.Name)
-		if p.Chosen {
-			linked[p.Service]++
+		if !p.Chosen {
+			continue
 		}
+		f.chosen[p.Name] = true
+		counts[p.Service]++
 		if p.Up {
 			f.crowds[p.Service] = append(f.crowds[p.Service], f.candidate(p.Member))
 		}
 	}
 	f.samples = map[string]float64{}
-	for service, count := range linked {
+	for service, count := range counts {
 		f.samples[service] = float64(len(f.services[service])) / float64(count)
 	}
 	known := func(name string) bool {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -19,15 +19,17 @@
 type fakeLinks struct {
 	members []linker.Member
 	down    map[string]bool
-	script  func(name string, c *exchanger.Call) *exchanger.Refusal
-	sent    []string
+	// unchosen are nodes with a link that is not for calls.
+	unchosen map[string]bool
+	script   func(name string, c *exchanger.Call) *exchanger.Refusal
+	sent     []string
 }
 
 func (l *fakeLinks) Changed() uint64 { return 1 }
 
 func (l *fakeLinks) Peers() (peers []linker.Peer) {
 	for _, m := range l.members {
-		peers = append(peers, linker.Peer{Member: m, Chosen: true, Up: !l.down[m.Name]})
+		peers = append(peers, linker.Peer{Member: m, Chosen: !l.unchosen[m.Name], Up: !l.down[m.Name]})
 	}
 	return peers
 }
@@ -317,3 +319,28 @@
 		t.Errorf("got %.2f calls to be kept, want at most 2.1", got)
 	}
 }
+
+// TestLinksThatAreNotForCalls gives a node links to delegates beside those that were
+// chosen for a service: no call goes there, and what the service is offered is worked out
+// from the chosen ones alone.
+func TestLinksThatAreNotForCalls(t *testing.T) {
+	f, l := newFixture(t, 4)
+	l.unchosen = map[string]bool{"n2": true, "n3": true}
+	for i, m := range l.members {
+		f.TakeLoad(m, guardian.Load{Sequence: 1, Limit: 10, Bears: 10, Offered: float64(1 + i)})
+	}
+	for range 40 {
+		if refusal := begin(t, f, call(false)); refusal != nil {
+			t.Fatal(refusal)
+		}
+	}
+	for _, name := range l.sent {
+		if l.unchosen[name] {
+			t.Fatalf("got a call sent to %s, want it sent to a chosen node", name)
+		}
+	}
+	// Two of four nodes are chosen; they are offered 1 and 2.
+	if got := f.Memory().Work["desk"]; got != 6 {
+		t.Errorf("got work %.1f for all nodes of the service, want 6", got)
+	}
+}
