Judge failures of runs only where they are known to make no calls, and not cold ones

Cause: whether a run makes calls was asked of what this node had seen since its start, which is nothing, so that chains that died below counted against the servers above; and cold servers miss deadlines, which their load tells already. Change: a route is a leaf only if enough of its runs are known, over all nodes or from before; at a cold server a missed deadline tells nothing. Tests: TestServersThatFailAreTold, TestChainsAfterALossOfAllNodes.

--- a/internal/admitter/fans.go
+++ b/internal/admitter/fans.go
@@ -62,11 +62,6 @@
 	c.window(c.number(c.clock.Now())).calls[route]++
 }
 
-// Calls reports whether the runs of a route make calls, as far as is known.
-func (c *FanCounter) Calls(route string) bool {
-	return len(c.Fans()[route].Calls) > 0
-}
-
 // Fans returns the mean number of calls, by route, that a run of each route
 // makes. The result is not changed any more.
 func (c *FanCounter) Fans() map[string]estimator.Fans {
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -228,7 +228,7 @@
 	n.fans = admitter.NewFanCounter(clock)
 	n.guardian = guardian.New(guardian.Settings{
 		Backend: backend,
-		Calls:   n.fans.Calls,
+		Leaf:    func(route string) bool { return n.forwarder.Leaf(route) },
 		Changed: n.wake,
 		Clock:   clock,
 		Dialect: s.Dialect,
--- a/internal/forwarder/fans.go
+++ b/internal/forwarder/fans.go
@@ -28,6 +28,22 @@
 	}
 )
 
+// Leaf reports whether runs of a route are known to make no calls.
+func (f *Forwarder) Leaf(route string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fans := f.meanFans(route)
+	if fans == nil {
+		return false
+	}
+	for _, n := range fans {
+		if n >= leastCalls {
+			return false
+		}
+	}
+	return true
+}
+
 // meanFans returns the mean number of calls that a run of a route makes, by
 // route, over the runs of all nodes; none while too few have run. The caller
 // holds the lock.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -315,6 +315,13 @@
 	if got := known(after); got > 2.1 {
 		t.Errorf("got %.2f calls by what is seen now, want at most 2.1", got)
 	}
+	if after.Leaf("book") || after.Leaf("rare") {
+		t.Error("got a leaf for a route with calls, or for one of which too little is known")
+	}
+	after.TakeFans(l.members[1], map[string]linker.Fans{"feed": {Runs: 100, Calls: map[string]float64{}}})
+	if !after.Leaf("feed") {
+		t.Error("got no leaf for a route whose runs make no calls")
+	}
 	if got := after.Memory().Fans["book"].Calls["feed"]; got > 2.1 {
 		t.Errorf("got %.2f calls to be kept, want at most 2.1", got)
 	}
--- a/internal/guardian/gate.go
+++ b/internal/guardian/gate.go
@@ -225,6 +225,13 @@
 	}
 }
 
+// isCold reports whether the server is cold.
+func (g *gate) isCold() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cold(g.clock.Now())
+}
+
 func (g *gate) cold(now time.Time) bool {
 	return g.bounds.warmRate > 0 && now.Before(g.bounds.coldUntil)
 }
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -61,8 +61,9 @@
 	Settings struct {
 		// Backend runs the calls.
 		Backend *invoker.Invoker
-		// Calls reports whether runs of a route call other backend servers.
-		Calls func(route string) bool
+		// Leaf reports whether runs of a route are known to call no other backend
+		// servers.
+		Leaf func(route string) bool
 		// Changed is told that the server is opened or closed, or is or is not
 		// sound any more. It must not block.
 		Changed func()
@@ -193,7 +194,10 @@
 		return assessor.EndWell
 	case r != nil && (r.Reason == exchanger.ReasonServerFull || r.Reason == exchanger.ReasonBroken):
 		return assessor.EndBadly
-	case r != nil && r.Reason != exchanger.ReasonDeadline, g.Calls(c.Route):
+	case r != nil && r.Reason != exchanger.ReasonDeadline, !g.Leaf(c.Route):
+		return assessor.EndUnclear
+	case (r != nil || reply.Status == http.StatusGatewayTimeout) && g.gate.isCold():
+		// A cold server is slow, which its load tells.
 		return assessor.EndUnclear
 	default:
 		return assessor.EndBadly
