--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -67,10 +67,10 @@
 	}
 	a.all.Add(now, memory, 1)
 	switch part := a.badly.At(now, memory) / (a.all.At(now, memory) + presumed); {
+	case a.failing && a.streak >= proof:
+		*a = Assessor{}
 	case part >= failingFrom:
 		a.failing = true
-	case a.streak >= proof:
-		a.failing = false
 	}
 }
 
