--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -140,14 +140,6 @@
 	return t.run(ctx)
 }
 
-// Nodes returns the number of nodes, this one included.
-func (f *Forwarder) Nodes() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.refresh()
-	return len(f.members)
-}
-
 // Open returns the number of nodes of a service that can be reached and say that
 // their backend servers take requests.
 func (f *Forwarder) Open(service string) (count int) {
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -219,12 +219,6 @@
 	return serve(ctx, l, listener)
 }
 
-// Up reports whether a link to a node stands.
-func (l *Linker) Up(name string) bool {
-	k := l.link(name)
-	return k != nil && k.current.Load() != nil
-}
-
 func (l *Linker) link(name string) *link {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -128,6 +130,23 @@
 	return a, b
 }
 
+// Members returns the other members, in order of their names.
+func (l *Linker) Members() []Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]Member, 0, len(l.links))
+	for _, name := range slices.Sorted(maps.Keys(l.links)) {
+		list = append(list, l.links[name].member)
+	}
+	return list
+}
+
+// Up reports whether a link to a node stands.
+func (l *Linker) Up(name string) bool {
+	k := l.link(name)
+	return k != nil && k.current.Load() != nil
+}
+
 func call(left time.Duration) *exchanger.Call {
 	return &exchanger.Call{ID: "1", Service: "s", Method: http.MethodPost, Target: "/x", Deadline: time.Now().Add(left)}
 }
--- a/internal/linker/members.go
+++ b/internal/linker/members.go
@@ -106,17 +106,6 @@
 	return true
 }
 
-// Members returns the other members, in order of their names.
-func (l *Linker) Members() []Member {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	list := make([]Member, 0, len(l.links))
-	for _, name := range slices.Sorted(maps.Keys(l.links)) {
-		list = append(list, l.links[name].member)
-	}
-	return list
-}
-
 // Peers returns the other nodes, in order of their names.
 func (l *Linker) Peers() []Peer {
 	l.mu.Lock()
