End resting connections in one place, and ask for a verdict without a load

Found by reading the change. Cause: making room and stopping each ended a connection and took it off the open ones; whether a server is failing was read from a whole load, which also counts the sequence of loads that nodes are told. Change: Server.end does both; the gate answers for its assessor. Behaviour is the same; tests of acceptor and guardian pass unchanged (go test -race).

--- a/internal/acceptor/room.go
+++ b/internal/acceptor/room.go
@@ -28,8 +28,7 @@
 	resting := s.resting()
 	count := min(len(resting), max(1, s.Open()/droppedPart))
 	for _, r := range resting[:count] {
-		if r.conn.end() {
-			s.release(r.conn)
+		if s.end(r.conn) {
 			dropped++
 		}
 	}
@@ -38,14 +37,19 @@
 	return dropped
 }
 
-// release takes a connection that ends off those that callers may use.
-func (s *Server) release(c *conn) {
+// end ends a connection if it rests, takes it off those that callers may use, and
+// reports whether it did.
+func (s *Server) end(c *conn) bool {
+	if !c.end() {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, open := s.conns[c]; open {
 		delete(s.conns, c)
 		s.ending[c] = struct{}{}
 	}
+	return true
 }
 
 // resting returns the connections that rest, the longest first.
--- a/internal/acceptor/shutdown.go
+++ b/internal/acceptor/shutdown.go
@@ -21,8 +21,8 @@
 func (s *Server) Shutdown(ctx context.Context) {
 	for s.Open() > 0 {
 		for _, r := range s.resting() {
-			if time.Since(r.since) > firstRequest && r.conn.end() {
-				s.release(r.conn)
+			if time.Since(r.since) > firstRequest {
+				s.end(r.conn)
 			}
 		}
 		if !timekeeper.Sleep(ctx, shutdownPoll) {
--- a/internal/guardian/gate.go
+++ b/internal/guardian/gate.go
@@ -225,6 +225,13 @@
 	}
 }
 
+// failing reports whether many runs end badly.
+func (g *gate) failing() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.assessor.Failing(g.clock.Now())
+}
+
 // isCold reports whether the server is cold.
 func (g *gate) isCold() bool {
 	g.mu.Lock()
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -217,7 +217,7 @@
 
 // Failing reports whether many runs on the backend server end badly.
 func (g *Guardian) Failing() bool {
-	return g.Load().Failing
+	return g.gate.failing()
 }
 
 // log tells what became of a call that was sent to the server.
