Lay the ring of nodes out once, and walk the delegates' links in one place

Found by reading the change. Cause: orders and delegates each hashed and sorted all nodes at every change of the members, and four loops walked the delegates to their links. Change: selector.Ring gives both orders and delegates; Linker.delegateLinks is the one walk. Two tests that set nodes up behind a wire share overWire. Behaviour is the same: the tests keep their assertions, only their calls changed (go test -race on selector, linker, admitter, platform).

--- a/internal/admitter/holders_test.go
+++ b/internal/admitter/holders_test.go
@@ -17,7 +17,7 @@
 	for i := range 96 {
 		nodes = append(nodes, selector.Node{Name: fmt.Sprint("n", i), Domain: fmt.Sprint("d", i%domains)})
 	}
-	delegates := selector.NewDelegates(nodes[0], nodes)
+	delegates := selector.NewRing(nodes).Delegates()
 	up := map[string]bool{}
 	for _, names := range delegates.Names {
 		for _, name := range names {
--- a/internal/admitter/rates_test.go
+++ b/internal/admitter/rates_test.go
@@ -76,7 +76,7 @@
 		f.names = append(f.names, n.Name)
 		f.domains[n.Name] = n.Domain
 	}
-	f.delegates = selector.NewDelegates(all[0], all)
+	f.delegates = selector.NewRing(all).Delegates()
 	table := director.NewTable(director.State{Revision: 1, Config: &director.Config{Customers: []director.Customer{c}}})
 	for _, name := range f.names {
 		s := NewShares(f.clock, fleetNode{f, name}, Slack{Window: fleetWindow, Part: 0.1, Requests: 20})
--- a/internal/linker/choice.go
+++ b/internal/linker/choice.go
@@ -37,12 +37,14 @@
 		return
 	}
 	l.ordersOf = l.changed
-	nodes := []selector.Node{toNode(l.self)}
+	self := toNode(l.self)
+	nodes := []selector.Node{self}
 	for _, k := range l.links {
 		nodes = append(nodes, toNode(k.member))
 	}
-	l.orders = selector.Orders(nodes[0], nodes)
-	l.delegates = selector.NewDelegates(nodes[0], nodes)
+	ring := selector.NewRing(nodes)
+	l.orders = ring.Orders(self)
+	l.delegates = ring.Delegates()
 }
 
 // want marks the links to the first members of a service that can be used. The
@@ -71,9 +73,8 @@
 // if that has too few, or if the node is one itself. The caller holds the lock.
 func (l *Linker) wantDelegates(now time.Time) {
 	usable := 0
-	for _, name := range l.delegates.Names[l.self.Domain] {
-		k := l.links[name]
-		if k == nil {
+	for k := range l.delegateLinks() {
+		if k.member.Domain != l.self.Domain {
 			continue
 		}
 		k.wanted = true
@@ -84,12 +85,8 @@
 	if usable >= leastUsableDelegates && !l.delegates.Has(l.self.Name, l.self.Domain) {
 		return
 	}
-	for _, names := range l.delegates.Names {
-		for _, name := range names {
-			if k := l.links[name]; k != nil {
-				k.wanted = true
-			}
-		}
+	for k := range l.delegateLinks() {
+		k.wanted = true
 	}
 }
 
--- a/internal/linker/delegates.go
+++ b/internal/linker/delegates.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/framer"
@@ -59,17 +60,29 @@
 	defer l.mu.Unlock()
 	l.orderMembers()
 	found := &Delegates{Delegates: l.delegates, Version: version, Node: toNode(l.self), Up: map[string]bool{}}
-	for _, names := range l.delegates.Names {
-		for _, name := range names {
-			if k := l.links[name]; k != nil && k.current.Load() != nil {
-				found.Up[name] = true
-			}
+	for k := range l.delegateLinks() {
+		if k.current.Load() != nil {
+			found.Up[k.member.Name] = true
 		}
 	}
 	l.found.Store(found)
 	return found
 }
 
+// delegateLinks returns the links to the other delegates, kept or not. The caller holds
+// the lock.
+func (l *Linker) delegateLinks() iter.Seq[*link] {
+	return func(yield func(*link) bool) {
+		for _, names := range l.delegates.Names {
+			for _, name := range names {
+				if k := l.links[name]; k != nil && !yield(k) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Followed reports whether this node may leave it to delegates to follow the
 // directory, as it hears from enough of them that it answers.
 func (l *Linker) Followed() bool {
@@ -79,11 +92,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now, count := l.clock.Now(), 0
-	for _, names := range l.delegates.Names {
-		for _, name := range names {
-			if k := l.links[name]; k != nil && k.follows(now) {
-				count++
-			}
+	for k := range l.delegateLinks() {
+		if k.follows(now) {
+			count++
 		}
 	}
 	return count >= leastFollowers
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -212,13 +212,7 @@
 // call runs there: the call ends as one that may have run, and new ones pass once
 // the way is back.
 func TestLinkThatFallsSilent(t *testing.T) {
-	a := startNode(t, "a")
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	w := startWire(t, l.Addr().String())
-	b := startNodeAt(t, "b", l, w.Addr().String())
+	a, b, w := overWire(t)
 	running := make(chan struct{})
 	b.run = func(ctx context.Context, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
 		if c.ID == "1" {
@@ -247,6 +241,18 @@
 	})
 }
 
+// overWire starts two nodes, the second one behind a wire.
+func overWire(t *testing.T) (a, b *node, w *wire) {
+	t.Helper()
+	a = startNode(t, "a")
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w = startWire(t, l.Addr().String())
+	return a, startNodeAt(t, "b", l, w.Addr().String()), w
+}
+
 // startWire passes connections on to an address.
 func startWire(t *testing.T, address string) *wire {
 	t.Helper()
@@ -381,13 +387,7 @@
 // silent for a while, as one that was paused: what must not run twice is waited for, what
 // may be repeated ends so that it can be, and new calls take a new session at once.
 func TestAnswerAfterASilence(t *testing.T) {
-	a := startNode(t, "a")
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	w := startWire(t, l.Addr().String())
-	b := startNodeAt(t, "b", l, w.Addr().String())
+	a, b, w := overWire(t)
 	running := make(chan struct{}, 2)
 	release := make(chan struct{})
 	b.run = func(context.Context, *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
--- a/internal/selector/delegates.go
+++ b/internal/selector/delegates.go
@@ -24,17 +24,16 @@
 	Count int
 }
 
-// NewDelegates chooses the delegates among all nodes: the first ones of each failure
-// domain on the common ring, so that all nodes with the same members choose the same.
-func NewDelegates(self Node, nodes []Node) Delegates {
+// Delegates chooses the delegates: the first nodes of each failure domain on the ring,
+// so that all nodes with the same members choose the same.
+func (r Ring) Delegates() Delegates {
 	d := Delegates{Names: map[string][]string{}}
-	places := ring(self, nodes)
 	domains := map[string]struct{}{}
-	for _, p := range places {
+	for _, p := range r {
 		domains[p.Domain] = struct{}{}
 	}
 	each := max(leastDelegates, (delegates+len(domains)-1)/len(domains))
-	for _, p := range places {
+	for _, p := range r {
 		if len(d.Names[p.Domain]) < each {
 			d.Names[p.Domain] = append(d.Names[p.Domain], p.Name)
 			d.Count++
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -36,36 +36,46 @@
 		Service, Domain string
 	}
 
-	// place is a node at its place on the ring of all nodes.
-	place struct {
-		Node
-		hash uint64
-	}
+	// Ring is all nodes in one order that does not depend on who looks: that of the
+	// hashes of their names.
+	Ring []Node
 
 	// rings are the nodes of one service by failure domain, in the order of the
 	// common ring.
 	rings map[string][]string
 )
 
-// Orders returns for each service the names of its nodes in the order in which self
-// links to them. nodes are all of them; self may be missing.
-func Orders(self Node, nodes []Node) map[string][]string {
-	places := ring(self, nodes)
+// NewRing returns the ring of all nodes.
+func NewRing(nodes []Node) Ring {
+	hashes := make(map[string]uint64, len(nodes))
+	for _, n := range nodes {
+		hashes[n.Name] = xxh3.HashString(n.Name)
+	}
+	ring := slices.Clone(nodes)
+	slices.SortFunc(ring, func(a, b Node) int {
+		return cmp.Or(cmp.Compare(hashes[a.Name], hashes[b.Name]), cmp.Compare(a.Name, b.Name))
+	})
+	return ring
+}
+
+// Orders returns for each service the names of its nodes in the order in which self,
+// one of the ring, links to them.
+func (r Ring) Orders(self Node) map[string][]string {
 	services := map[string]rings{}
 	near, all := position{}, position{}
-	for _, p := range places {
-		if services[p.Service] == nil {
-			services[p.Service] = rings{}
+	for _, n := range r {
+		if services[n.Service] == nil {
+			services[n.Service] = rings{}
 		}
-		services[p.Service][p.Domain] = append(services[p.Service][p.Domain], p.Name)
-		all.count(p.Name == self.Name)
-		if p.Domain == self.Domain {
-			near.count(p.Name == self.Name)
+		services[n.Service][n.Domain] = append(services[n.Service][n.Domain], n.Name)
+		all.count(n.Name == self.Name)
+		if n.Domain == self.Domain {
+			near.count(n.Name == self.Name)
 		}
 	}
 	orders := make(map[string][]string, len(services))
-	for service, r := range services {
-		orders[service] = r.order(self.Domain, near, all)
+	for service, domains := range services {
+		orders[service] = domains.order(self.Domain, near, all)
 	}
 	return orders
 }
@@ -93,23 +103,6 @@
 	return slices.Concat(ring[start:], ring[:start])
 }
 
-// ring returns all nodes in the order of their hashes.
-func ring(self Node, nodes []Node) []place {
-	places := make([]place, 0, len(nodes)+1)
-	known := false
-	for _, n := range nodes {
-		known = known || n.Name == self.Name
-		places = append(places, place{n, xxh3.HashString(n.Name)})
-	}
-	if !known {
-		places = append(places, place{self, xxh3.HashString(self.Name)})
-	}
-	slices.SortFunc(places, func(a, b place) int {
-		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.Name, b.Name))
-	})
-	return places
-}
-
 // order returns the names of all nodes: the first ones of the own failure domain,
 // then one of each domain in turn.
 func (r rings) order(domain string, near, all position) (names []string) {
--- a/internal/selector/selector_test.go
+++ b/internal/selector/selector_test.go
@@ -34,7 +34,7 @@
 	nodes := fleet(4, Linked, 4, 3, 1)
 	for _, n := range nodes {
 		total := 0
-		for _, order := range Orders(n, nodes) {
+		for _, order := range NewRing(nodes).Orders(n) {
 			total += min(Linked, len(order))
 		}
 		if total != len(nodes) {
@@ -68,7 +68,7 @@
 			near, far := map[string]int{}, map[string]int{}
 			for _, n := range nodes {
 				links := 0
-				for _, order := range Orders(n, nodes) {
+				for _, order := range NewRing(nodes).Orders(n) {
 					own := 0
 					for _, name := range order[:min(Linked, len(order))] {
 						links++
@@ -119,7 +119,7 @@
 		}
 		self := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "self")]
 		var got, want []string
-		for _, order := range Orders(self, nodes) {
+		for _, order := range NewRing(nodes).Orders(self) {
 			got = append(got, order...)
 		}
 		for _, n := range nodes {
@@ -139,7 +139,7 @@
 	joined := append(slices.Clone(nodes), Node{Name: "late", Service: "s1", Domain: "d2"})
 	changed, links := 0, 0
 	for _, n := range nodes {
-		before, after := Orders(n, nodes), Orders(n, joined)
+		before, after := NewRing(nodes).Orders(n), NewRing(joined).Orders(n)
 		for service, order := range after {
 			for _, name := range order[:min(Linked, len(order))] {
 				links++
