Attribute calls to the runs that make them

Requests whose route makes no call to it were refused for its sake: the fan-outs of routes that run together on a server are fitted by least squares, and in a steady mix the fit gives each of them a part of the other's calls (0.01 to 0.09 slot seconds there in place of 0).

Ruled out: the services above were not short (offered 45 of 580 slots); a shorter queue at the deep guard, a lower target and arrival order change nothing there.

Change: attributor keeps the runs in progress and finds the run of a call by its ID, where that extends the ID of the run. Fan-outs of such calls are counted, the others are fitted as before.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/acceptor"
+	"github.com/flamingotack/flamingotack/internal/attributor"
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/logger"
@@ -74,8 +75,8 @@
 	Settings struct {
 		// Clock returns the current time.
 		Clock timekeeper.Clock
-		// CountCall counts a call that the local backend server makes to a
-		// route.
+		// CountCall counts a call to a route that the local backend server makes
+		// in a run that is not known.
 		CountCall func(route string)
 		// HeaderNames are the names of the header fields.
 		HeaderNames exchanger.HeaderNames
@@ -87,6 +88,8 @@
 		Meter Meter
 		// RateLimiter enforces the rate limits of customers.
 		RateLimiter RateLimiter
+		// Runs holds the runs on the local backend server, which make calls.
+		Runs *attributor.Attributor
 		// RefuseNewChains reports whether the node is about to exit and refuses
 		// requests that start a call chain.
 		RefuseNewChains func() bool
@@ -294,7 +297,11 @@
 // not run.
 func (a *Admitter) run(ctx context.Context, rc *resolvedCall) (*exchanger.Reply, *exchanger.Refusal) {
 	if rc.call.Nested {
-		a.CountCall(rc.call.Route)
+		run := a.Runs.StartCall(a.Clock.Now(), rc.call.ID, rc.call.Route)
+		if run == nil {
+			a.CountCall(rc.call.Route)
+		}
+		defer func() { a.Runs.EndCall(a.Clock.Now(), run) }()
 	} else {
 		a.Forwarder.RecordRequest(rc.call.Service)
 		// Admit before charging: tokens may be borrowed from other nodes, so a
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/acceptor"
+	"github.com/flamingotack/flamingotack/internal/attributor"
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/logger"
@@ -97,6 +98,7 @@
 	}
 	f.Admitter = New(Settings{
 		Clock:           timekeeper.SystemClock{},
+		Runs:            &attributor.Attributor{},
 		CountCall:       func(route string) { f.countedCalls = append(f.countedCalls, route) },
 		HeaderNames:     headerNames,
 		Forwarder:       f.forwarder,
--- a/internal/admitter/fanout.go
+++ b/internal/admitter/fanout.go
@@ -1,9 +1,12 @@
 package admitter
 
 import (
+	"maps"
 	"sync"
 	"time"
 
+	"github.com/flamingotack/flamingotack/internal/attributor"
+	"github.com/flamingotack/flamingotack/internal/averager"
 	"github.com/flamingotack/flamingotack/internal/estimator"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
@@ -16,11 +19,17 @@
 	openWindows = 3
 	// mergedWindows is the number of first windows that are merged into one.
 	mergedWindows = 2
+	// attributedDecayTime is the time constant of the sums of attributed calls. It is
+	// close to the memory of the estimator.
+	attributedDecayTime = 16 * time.Second
+	// minAttributedRuns is the decayed number of runs below which a route is dropped.
+	minAttributedRuns = 0.01
 )
 
 type (
 	// FanOutCounter counts the runs and the outgoing calls of the local backend
-	// server and estimates how many calls a run of each route makes. Create it
+	// server and determines how many calls a run of each route makes: exactly for the
+	// calls that are attributed to a run, and by an estimate for the others. Create it
 	// with NewFanOutCounter. It is safe for concurrent use.
 	FanOutCounter struct {
 		clock     timekeeper.Clock
@@ -35,10 +44,19 @@
 		merged      windowCounts
 		mergedCount int
 		estimator   estimator.Estimator
-		// cached is the last result of the estimator; nil after it changed.
+		// attributed holds the attributed calls by the route of the runs.
+		attributed map[string]*attributedCalls
+		// cached is the last result of FanOuts; nil after the estimator changed.
 		cached map[string]estimator.FanOut
 	}
 
+	// attributedCalls holds the sums of the runs of a route and of the calls that are
+	// attributed to them, with weights that decay over attributedDecayTime.
+	attributedCalls struct {
+		runs  averager.DecayingSum
+		calls map[string]*averager.DecayingSum
+	}
+
 	// windowCounts holds the numbers of runs and calls in one window, by route.
 	windowCounts struct {
 		runs, calls map[string]float64
@@ -47,14 +65,15 @@
 
 // NewFanOutCounter returns an empty FanOutCounter.
 func NewFanOutCounter(clock timekeeper.Clock) *FanOutCounter {
-	c := &FanOutCounter{clock: clock, startedAt: clock.Now(), merged: newWindowCounts()}
+	c := &FanOutCounter{clock: clock, startedAt: clock.Now(), merged: newWindowCounts(), attributed: map[string]*attributedCalls{}}
 	for i := range c.windows {
 		c.windows[i] = newWindowCounts()
 	}
 	return c
 }
 
-// CountCall counts a call that the backend server makes to a route.
+// CountCall counts a call to a route that the backend server makes in a run that is not
+// known.
 func (c *FanOutCounter) CountCall(route string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -70,15 +89,19 @@
 	c.advance()
 	if c.cached == nil {
 		c.cached = c.estimator.FanOuts()
+		c.addAttributed(c.cached)
 	}
 	return c.cached
 }
 
-// CountRun counts a finished run of a route on the backend server.
-func (c *FanOutCounter) CountRun(route string, started, ended time.Time) {
+// CountRun counts a finished run on the backend server and the calls that are attributed to
+// it.
+func (c *FanOutCounter) CountRun(s attributor.Summary) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.advance()
+	c.countAttributed(s)
+	route, started, ended := s.Route, s.StartedAt, s.EndedAt
 	length := max(ended.Sub(started), 1)
 	for n := max(c.oldestOpen, c.windowNumber(started)); n <= c.windowNumber(ended); n++ {
 		start := c.startedAt.Add(time.Duration(n) * windowLength)
@@ -94,6 +117,41 @@
 	}
 }
 
+// countAttributed counts a run and the calls that are attributed to it.
+func (c *FanOutCounter) countAttributed(s attributor.Summary) {
+	sums := c.attributed[s.Route]
+	if sums == nil {
+		sums = &attributedCalls{calls: map[string]*averager.DecayingSum{}}
+		c.attributed[s.Route] = sums
+	}
+	sums.runs.Add(s.EndedAt, attributedDecayTime, 1)
+	for called, n := range s.Calls {
+		if sums.calls[called] == nil {
+			sums.calls[called] = &averager.DecayingSum{}
+		}
+		sums.calls[called].Add(s.EndedAt, attributedDecayTime, float64(n))
+	}
+}
+
+// addAttributed adds the mean number of attributed calls per run to the fan-outs. It drops
+// the routes that have not run for a long time.
+func (c *FanOutCounter) addAttributed(fanOuts map[string]estimator.FanOut) {
+	now := c.clock.Now()
+	maps.DeleteFunc(c.attributed, func(_ string, sums *attributedCalls) bool {
+		return sums.runs.Value(now, attributedDecayTime) < minAttributedRuns
+	})
+	for route, fanOut := range fanOuts {
+		sums := c.attributed[route]
+		if sums == nil {
+			continue
+		}
+		runs := max(1, sums.runs.Value(now, attributedDecayTime))
+		for called, calls := range sums.calls {
+			fanOut.Calls[called] += calls.Value(now, attributedDecayTime) / runs
+		}
+	}
+}
+
 // advance closes all windows but the newest openWindows.
 func (c *FanOutCounter) advance() {
 	last := c.windowNumber(c.clock.Now())
--- a/internal/admitter/fanout_test.go
+++ b/internal/admitter/fanout_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/flamingotack/flamingotack/internal/attributor"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
 
@@ -29,7 +30,7 @@
 		startTimes = append(startTimes, now)
 		c.CountCall("ledger")
 		if now.Sub(startTimes[0]) >= runTime {
-			c.CountRun("view", startTimes[0], now)
+			c.CountRun(attributor.Summary{Route: "view", StartedAt: startTimes[0], EndedAt: now})
 			startTimes = startTimes[1:]
 		}
 		fanOut, known := c.FanOuts()["view"]
@@ -41,3 +42,24 @@
 		t.Errorf("got %.2f calls per run at the end, want 0.9 to 1.1", got)
 	}
 }
+
+// TestFanOutsOfRoutesThatRunTogether guards against calls that are attributed to the wrong
+// route: two routes run on the same server in a steady proportion, and only one of them
+// makes calls. Routes that make none must not be charged for a service they do not call.
+func TestFanOutsOfRoutesThatRunTogether(t *testing.T) {
+	clock := timekeeper.NewManualClock(time.Unix(1000, 0))
+	c := NewFanOutCounter(clock)
+	for range 1000 {
+		clock.Advance(10 * time.Millisecond)
+		now := clock.Now()
+		c.CountRun(attributor.Summary{Route: "needs", StartedAt: now.Add(-200 * time.Millisecond), EndedAt: now, Calls: map[string]int{"slots": 4}})
+		c.CountRun(attributor.Summary{Route: "list", StartedAt: now.Add(-300 * time.Millisecond), EndedAt: now})
+	}
+	fanOuts := c.FanOuts()
+	if got := fanOuts["needs"].Calls["slots"]; got < 3.9 || got > 4.1 {
+		t.Errorf("got %.2f calls per run of the route that makes calls, want 3.9 to 4.1", got)
+	}
+	if got := fanOuts["list"].Calls["slots"]; got != 0 {
+		t.Errorf("got %.2f calls per run of the route that makes none, want 0", got)
+	}
+}
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -16,6 +16,7 @@
 
 	"github.com/flamingotack/flamingotack/internal/acceptor"
 	"github.com/flamingotack/flamingotack/internal/admitter"
+	"github.com/flamingotack/flamingotack/internal/attributor"
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/forwarder"
@@ -233,6 +234,7 @@
 	s, clock := n.settings, timekeeper.SystemClock{}
 	backend := &invoker.Invoker{Address: s.BackendAddress, HeaderNames: s.HeaderNames}
 	n.fanOutCounter = admitter.NewFanOutCounter(clock)
+	runs := &attributor.Attributor{}
 	n.guardian = guardian.New(guardian.Settings{
 		Backend:     backend,
 		IsLeafRoute: func(route string) bool { return n.forwarder.IsLeafRoute(route) },
@@ -243,6 +245,7 @@
 		Service:     s.Service,
 		Logger:      s.Logger.Named("guardian"),
 		OnRunEnd:    n.fanOutCounter.CountRun,
+		Runs:        runs,
 		Table:       n.table.Load,
 	})
 	n.linker = linker.New(n.self, clock, s.Logger.Named("linker"), linker.Handlers{
@@ -279,6 +282,7 @@
 		Logger:          s.Logger.Named("admitter"),
 		Meter:           s.Meter,
 		RateLimiter:     n.rateLimiter,
+		Runs:            runs,
 		LocalService:    s.Service,
 		Table:           n.table.Load,
 	})
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/assessor"
+	"github.com/flamingotack/flamingotack/internal/attributor"
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/invoker"
@@ -81,7 +82,9 @@
 		// Logger receives state changes and failed calls.
 		Logger *logger.Logger
 		// OnRunEnd is called after each run on the server.
-		OnRunEnd func(route string, started, ended time.Time)
+		OnRunEnd func(attributor.Summary)
+		// Runs keeps the runs in progress.
+		Runs *attributor.Attributor
 		// Table returns the configuration in force.
 		Table func() *director.Table
 	}
@@ -177,9 +180,10 @@
 func (g *Guardian) send(ctx context.Context, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
 	id := g.instanceID()
 	started := g.Clock.Now()
+	run := g.Runs.StartRun(started, c)
 	response, err := g.Backend.Send(ctx, g.buildRequest(c, id))
 	g.CallsSent.Add(1)
-	g.OnRunEnd(c.Route, started, g.Clock.Now())
+	g.OnRunEnd(g.Runs.EndRun(g.Clock.Now(), run))
 	if err != nil {
 		refusal := g.classifyError(ctx, err)
 		g.logFailure(c, id, started, refusal)
--- a/internal/guardian/guardian_test.go
+++ b/internal/guardian/guardian_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/flamingotack/flamingotack/internal/attributor"
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/invoker"
@@ -57,7 +58,8 @@
 		Domain:      "north",
 		Service:     "ledger",
 		Logger:      logger.New(t.Output(), "info", "n"),
-		OnRunEnd:    func(string, time.Time, time.Time) {},
+		OnRunEnd:    func(attributor.Summary) {},
+		Runs:        &attributor.Attributor{},
 		Table:       f.table.Load,
 	})
 	return f
