Give calls the priorities and the customer of their chain

Cause: a node could not tell for which request a nested call is made, so at a deep service all nested calls went first and among each other by arrival.

Change: the run that makes a call is known (attributor), so a call carries the priority of the chain's first call, the priority of its route and its customer. The guard orders by them, then by the customers' fair shares. Calls of unknown chains still go first.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -244,9 +244,10 @@
 		Nested:        route.AllowAnonymous && customer == nil,
 		Idempotent:    route.Kind == director.RouteKindIdempotent,
 	}
+	call.ChainKnown = !call.Nested
 	call.ObjectiveDeadline = r.ArrivedAt.Add(route.LatencyObjective)
 	if customer != nil {
-		call.Customer = customer.Name
+		call.Customer, call.ChainCustomer = customer.Name, customer.Name
 		if customer.Priority != nil {
 			call.Priority = director.ClampPriority(*customer.Priority)
 		}
@@ -299,7 +300,9 @@
 func (a *Admitter) run(ctx context.Context, rc *resolvedCall) (*exchanger.Reply, *exchanger.Refusal) {
 	if rc.call.Nested {
 		run := a.Runs.StartCall(a.Clock.Now(), rc.call.ID, rc.call.Route)
-		if run == nil {
+		if run != nil {
+			inheritChain(rc.call, run.Call)
+		} else {
 			a.CountCall(rc.call.Route)
 		}
 		defer func() { a.Runs.EndCall(a.Clock.Now(), run) }()
@@ -326,6 +329,15 @@
 	return reply, refusal
 }
 
+// inheritChain gives a nested call what the run that makes it knows of the chain.
+func inheritChain(c, caller *exchanger.Call) {
+	if !caller.ChainKnown {
+		return
+	}
+	c.Priority, c.RoutePriority = caller.Priority, caller.RoutePriority
+	c.ChainCustomer, c.ChainKnown = caller.ChainCustomer, true
+}
+
 // requestTarget returns the path and query as the caller sent them.
 func requestTarget(r *acceptor.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") || r.RequestURI == "*" {
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -220,6 +220,39 @@
 }
 
 // TestWeightedRouteDistribution checks the shares in every run of twenty requests.
+// TestNestedCallHasPrioritiesOfItsChain checks what a call takes over from the run that makes
+// it, and that a call without a known run keeps the priority of its own route.
+func TestNestedCallHasPrioritiesOfItsChain(t *testing.T) {
+	tests := []struct {
+		name, id      string
+		priority      exchanger.Priority
+		routePriority exchanger.Priority
+		customer      string
+		known         bool
+	}{
+		{"call of a chain", "root.1", exchanger.PriorityHigh, exchanger.PriorityNormal, "club", true},
+		{"call of a run of an unknown chain", "stray.1", exchanger.PriorityCritical, exchanger.PriorityCritical, "", false},
+		{"call without a run", "other", exchanger.PriorityCritical, exchanger.PriorityCritical, "", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t)
+			now := time.Now()
+			f.Runs.StartRun(now, &exchanger.Call{ID: "root", Customer: "club", ChainCustomer: "club", ChainKnown: true, Priority: exchanger.PriorityHigh, RoutePriority: exchanger.PriorityNormal})
+			f.Runs.StartRun(now, &exchanger.Call{ID: "stray", Nested: true, Priority: exchanger.PriorityLow})
+			f.request(t, "GET /ledger/1 HTTP/1.1\nHost: a\nAttempt: "+tt.id)
+			c := f.forwarder.calls[0]
+			if c.Priority != tt.priority || c.RoutePriority != tt.routePriority || c.ChainCustomer != tt.customer || c.ChainKnown != tt.known {
+				t.Errorf("got priority %d, route priority %d, chain customer %q, known %t, want %d, %d, %q, %t",
+					c.Priority, c.RoutePriority, c.ChainCustomer, c.ChainKnown, tt.priority, tt.routePriority, tt.customer, tt.known)
+			}
+			if c.Customer != "" {
+				t.Errorf("got customer %q, want none: the call has no key", c.Customer)
+			}
+		})
+	}
+}
+
 func TestWeightedRouteDistribution(t *testing.T) {
 	f := newFixture(t)
 	for range 100 {
--- a/internal/exchanger/call.go
+++ b/internal/exchanger/call.go
@@ -28,6 +28,12 @@
 		Body []byte
 		// Customer is the name of the customer; empty for anonymous requests.
 		Customer string
+		// ChainCustomer is the customer of the chain's first call; empty if that call is
+		// anonymous or not known.
+		ChainCustomer string
+		// ChainKnown reports whether the chain's first call is known, so that Priority,
+		// RoutePriority and ChainCustomer are those of that call.
+		ChainKnown bool
 		// CallerService is the service of the node where the call started.
 		CallerService string
 		// Priority decides which calls are shed first.
--- a/internal/guardian/callqueue.go
+++ b/internal/guardian/callqueue.go
@@ -42,7 +42,7 @@
 		clock timekeeper.Clock
 
 		mu        sync.Mutex
-		scheduler scheduler.Scheduler[scheduler.DepthOrder]
+		scheduler scheduler.Scheduler[scheduler.PriorityOrder]
 		pacer     limiter.Pacer
 		limits    serverLimits
 		// closedRefusal is the refusal of new calls; nil while the queue is open.
@@ -277,23 +277,25 @@
 	q.waiting[q.lastID] = decision
 	q.scheduler.QueueCapacity = q.queueCapacity(now)
 	q.scheduler.ServerCapacity = scheduler.ServerCapacity{ConcurrencyLimit: q.concurrencyLimit(), MeanServiceTime: q.meanServiceTime()}
-	depth := 0
-	if c.Nested {
-		depth = 1
-	}
-	refused := q.scheduler.Enqueue(now, scheduler.Item{
-		ID:          q.lastID,
-		Customer:    c.Customer,
-		Priority:    c.Priority,
-		Depth:       depth,
-		Deadline:    c.Deadline,
-		ServiceTime: serviceTime,
-	})
-	q.refuse(refused)
+	item := schedulerItem(c)
+	item.ID, item.ServiceTime = q.lastID, serviceTime
+	q.refuse(q.scheduler.Enqueue(now, item))
 	q.dispatch(now)
 	return q.lastID, decision
 }
 
+// schedulerItem returns the fields of a waiting call that decide on its order. Calls of one
+// chain wait like its first call, whatever their depth, so that requests that go directly
+// to this server get their part. A nested call of an unknown chain goes first, because it
+// may belong to the most important one.
+func schedulerItem(c *exchanger.Call) scheduler.Item {
+	item := scheduler.Item{Customer: c.ChainCustomer, Priority: c.Priority, RoutePriority: c.RoutePriority, Deadline: c.Deadline}
+	if c.Nested && !c.ChainKnown {
+		item.Priority, item.RoutePriority, item.Depth = exchanger.PriorityCritical, exchanger.PriorityCritical, 1
+	}
+	return item
+}
+
 // queueCapacity returns the number of calls that the queue may hold.
 func (q *callQueue) queueCapacity(now time.Time) int {
 	if q.isColdAt(now) {
--- a/internal/guardian/guardian_test.go
+++ b/internal/guardian/guardian_test.go
@@ -18,6 +18,7 @@
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/invoker"
 	"github.com/flamingotack/flamingotack/internal/logger"
+	"github.com/flamingotack/flamingotack/internal/scheduler"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
 
@@ -250,6 +251,32 @@
 	}
 }
 
+// TestOrderOfWaitingCalls checks that calls of a known chain wait like the request that
+// started it, and that nested calls of unknown chains go first.
+func TestOrderOfWaitingCalls(t *testing.T) {
+	calls := []exchanger.Call{
+		{ID: "direct, normal", Priority: exchanger.PriorityNormal, RoutePriority: exchanger.PriorityNormal, ChainCustomer: "a", ChainKnown: true},
+		{ID: "nested, normal", Priority: exchanger.PriorityNormal, RoutePriority: exchanger.PriorityNormal, ChainCustomer: "b", ChainKnown: true, Nested: true},
+		{ID: "nested, important route", Priority: exchanger.PriorityNormal, RoutePriority: exchanger.PriorityCritical, ChainCustomer: "a", ChainKnown: true, Nested: true},
+		{ID: "direct, important customer", Priority: exchanger.PriorityCritical, RoutePriority: exchanger.PriorityNormal, ChainCustomer: "c", ChainKnown: true},
+		{ID: "nested, unknown chain", Priority: exchanger.PriorityLow, RoutePriority: exchanger.PriorityLow, Nested: true},
+	}
+	want := []string{"nested, unknown chain", "direct, important customer", "nested, important route", "direct, normal", "nested, normal"}
+	var s scheduler.Scheduler[scheduler.PriorityOrder]
+	now := time.Unix(1000, 0)
+	for i := range calls {
+		item := schedulerItem(&calls[i])
+		item.ID, item.Deadline = uint64(i), now.Add(time.Second)
+		s.Enqueue(now, item)
+	}
+	for _, id := range want {
+		next, _, _ := s.Dequeue(now)
+		if got := calls[next.ID].ID; got != id {
+			t.Errorf("got %q, want %q", got, id)
+		}
+	}
+}
+
 // TestReturnToServiceRequiresHealthCheck guards against full load on a server that has
 // become cold while its failure domain was out of service and has not announced it yet.
 func TestReturnToServiceRequiresHealthCheck(t *testing.T) {
--- a/internal/linker/convert.go
+++ b/internal/linker/convert.go
@@ -16,21 +16,24 @@
 		Number: number,
 		More:   len(rest) > 0,
 		Run: &framer.Run{
-			Id:         c.ID,
-			Service:    c.Service,
-			Route:      c.Route,
-			Method:     c.Method,
-			Target:     c.Target,
-			Host:       c.Host,
-			Header:     fromHeader(c.Header),
-			Body:       first,
-			Customer:   c.Customer,
-			Caller:     c.CallerService,
-			Priority:   int32(c.Priority),
-			LeftMicros: c.Deadline.Sub(now).Microseconds(),
-			Inner:      c.Nested,
-			Repeatable: c.Idempotent,
-			Moved:      c.RefusedByFullNode,
+			Id:            c.ID,
+			Service:       c.Service,
+			Route:         c.Route,
+			Method:        c.Method,
+			Target:        c.Target,
+			Host:          c.Host,
+			Header:        fromHeader(c.Header),
+			Body:          first,
+			Customer:      c.Customer,
+			Caller:        c.CallerService,
+			Priority:      int32(c.Priority),
+			LeftMicros:    c.Deadline.Sub(now).Microseconds(),
+			Inner:         c.Nested,
+			Repeatable:    c.Idempotent,
+			Moved:         c.RefusedByFullNode,
+			RoutePriority: int32(c.RoutePriority),
+			ChainCustomer: c.ChainCustomer,
+			ChainKnown:    c.ChainKnown,
 		},
 	}
 	return append([]*framer.Frame{head}, dataFrames(number, rest)...)
@@ -121,7 +124,10 @@
 		Body:              m.GetBody(),
 		Customer:          m.GetCustomer(),
 		CallerService:     m.GetCaller(),
-		Priority:          max(0, min(exchanger.Priority(m.GetPriority()), exchanger.PriorityCount-1)),
+		Priority:          toPriority(m.GetPriority()),
+		RoutePriority:     toPriority(m.GetRoutePriority()),
+		ChainCustomer:     m.GetChainCustomer(),
+		ChainKnown:        m.GetChainKnown(),
 		Deadline:          now.Add(time.Duration(m.GetLeftMicros()) * time.Microsecond),
 		Nested:            m.GetInner(),
 		Idempotent:        m.GetRepeatable(),
@@ -129,6 +135,11 @@
 	}
 }
 
+// toPriority returns a priority that another node sent, clamped to the range of priorities.
+func toPriority(p int32) exchanger.Priority {
+	return max(0, min(exchanger.Priority(p), exchanger.PriorityCount-1))
+}
+
 func toFanOuts(list []*framer.Fans) map[string]FanOut {
 	fanOuts := make(map[string]FanOut, len(list))
 	for _, m := range list {
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -4,19 +4,14 @@
 	// FIFOOrder orders by arrival: first come, first served.
 	FIFOOrder struct{}
 
-	// DepthOrder orders by depth in the call chain, the deepest first, then by
-	// priority, then by the fair shares of the customers. It suits calls that do
-	// not carry the priority of their call chain.
-	DepthOrder struct{}
-
 	// Order defines which of two waiting requests runs first. It is a strict
 	// total order.
 	Order interface {
 		Before(a, b *Item) bool
 	}
 
-	// PriorityOrder orders by priority, then by depth in the call chain, the
-	// deepest first, then by the fair shares of the customers.
+	// PriorityOrder orders by priority, then by the priority of the route, then by depth
+	// in the call chain, the deepest first, then by the fair shares of the customers.
 	PriorityOrder struct{}
 )
 
@@ -25,19 +20,14 @@
 	return a.sequence < b.sequence
 }
 
-// Before reports whether a runs before b.
-func (DepthOrder) Before(a, b *Item) bool {
-	if a.Depth != b.Depth {
-		return a.Depth > b.Depth
-	}
-	return PriorityOrder{}.Before(a, b)
-}
-
 // Before reports whether a runs before b.
 func (PriorityOrder) Before(a, b *Item) bool {
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
+	if a.RoutePriority != b.RoutePriority {
+		return a.RoutePriority < b.RoutePriority
+	}
 	if a.Depth != b.Depth {
 		return a.Depth > b.Depth
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -36,6 +36,8 @@
 		Customer string
 		// Priority decides which requests are shed first.
 		Priority exchanger.Priority
+		// RoutePriority decides between requests of equal priority.
+		RoutePriority exchanger.Priority
 		// Depth is the number of hops in the call chain before this request.
 		Depth int
 		// Deadline is when the answer becomes useless.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -19,6 +19,63 @@
 	seeder.Run(m)
 }
 
+// TestDirectRequestsBesideNestedCalls guards against a deep service that refuses nearly all
+// requests which go directly to it: chains above it offer a little more than it can handle,
+// in many short calls, and a few requests of the same priority come without a chain. Both
+// must be served in about the same proportion.
+func TestDirectRequestsBesideNestedCalls(t *testing.T) {
+	const (
+		slots     = 28
+		customers = 8
+		step      = time.Millisecond
+		duration  = 20 * time.Second
+	)
+	type kind struct {
+		name                  string
+		perSecond             float64
+		serviceTime, deadline time.Duration
+		asked, served         float64
+	}
+	nested := &kind{name: "nested", perSecond: 930, serviceTime: 30 * time.Millisecond, deadline: 700 * time.Millisecond}
+	direct := &kind{name: "direct", perSecond: 30, serviceTime: 96 * time.Millisecond, deadline: 1200 * time.Millisecond}
+	random := rand.New(rand.NewPCG(1, 2))
+	s := &Scheduler[PriorityOrder]{
+		ServerCapacity: ServerCapacity{ConcurrencyLimit: slots, MeanServiceTime: nested.serviceTime},
+		QueueCapacity:  slots * int(time.Second/nested.serviceTime),
+	}
+	kinds := map[uint64]*kind{}
+	lastID := uint64(0)
+	var ends []time.Time
+	for now := epoch; now.Before(epoch.Add(duration)); now = now.Add(step) {
+		for _, k := range []*kind{nested, direct} {
+			if random.Float64() >= k.perSecond*step.Seconds() {
+				continue
+			}
+			lastID++
+			kinds[lastID] = k
+			k.asked++
+			customer := fmt.Sprint("c", random.IntN(customers))
+			s.Enqueue(now, Item{ID: lastID, Customer: customer, Priority: exchanger.PriorityNormal, Deadline: now.Add(k.deadline), ServiceTime: k.serviceTime})
+		}
+		ends = slices.DeleteFunc(ends, func(end time.Time) bool { return !end.After(now) })
+		for len(ends) < slots {
+			next, found, _ := s.Dequeue(now)
+			if !found {
+				break
+			}
+			kinds[next.ID].served++
+			ends = append(ends, now.Add(next.ServiceTime))
+		}
+	}
+	nestedFraction, directFraction := nested.served/nested.asked, direct.served/direct.asked
+	if nestedFraction < 0.8 {
+		t.Errorf("got fraction %.2f of nested calls served, want at least 0.8", nestedFraction)
+	}
+	if directFraction < 0.8*nestedFraction {
+		t.Errorf("got fraction %.2f of direct requests served, want at least 0.8 of %.2f", directFraction, nestedFraction)
+	}
+}
+
 func TestPriorityOrder(t *testing.T) {
 	far := epoch.Add(time.Minute)
 	s := &Scheduler[PriorityOrder]{}
@@ -29,6 +86,7 @@
 		{ID: 4, Priority: exchanger.PriorityNormal, Customer: "b", Deadline: far},
 		{ID: 5, Priority: exchanger.PriorityNormal, Customer: "a", Depth: 3, Deadline: far},
 		{ID: 6, Priority: exchanger.PriorityCritical, Deadline: far},
+		{ID: 7, Priority: exchanger.PriorityNormal, RoutePriority: exchanger.PriorityHigh, Depth: 9, Deadline: far},
 	}
 	for _, i := range items {
 		s.Enqueue(epoch, i)
@@ -41,7 +99,7 @@
 		}
 		got = append(got, i.ID)
 	}
-	if want := []uint64{6, 5, 2, 4, 3, 1}; !slices.Equal(got, want) {
+	if want := []uint64{6, 5, 2, 4, 3, 7, 1}; !slices.Equal(got, want) {
 		t.Errorf("got order %v, want %v", got, want)
 	}
 }
