Use warm capacity at once, and tell refused callers when it comes

Cause: after all servers have lost power they are cold for some three seconds and bear a twentieth. Refused callers were told to return after a part of the time to their objective, so nearly all came back to cold servers and were refused for good. Those who came later were refused too: for 0.5 s after the warm-up the budgets were large again, but a request of low rank needs savings of more than half of their maximum, and these had to accrue anew (refused with budgets of 59 to 250 slots and idle servers). Slot times of root requests were measured at the ingress with all waiting (0.3 to 0.5 s for 0.12 at the deepest service).

Change: - ReturnPlanner gives callers that are refused for cold servers places after the warm-up, at the rate at which the servers can serve them. Load reports say how long a server stays cold and what it bears then. A call keeps its caller's deadline beside the route's timeout. - While the pressure is far below the target, the savings are full; after a jump of the capacity a budget is an equal share at most. - Guards measure the mean time of a route's runs, sent and stored with the fan-outs. At cold servers, which limit the rate, all calls count alike.

TestWarmCapacityIsUsedAtOnce fails before (19 of 80), as does TestRefusedCallersReturnWhenServersAreWarm.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -228,6 +228,7 @@
 
 // newCall converts a request to a call.
 func (a *Admitter) newCall(r *acceptor.Request, id string, route *director.Route, customer *director.Customer) *exchanger.Call {
+	callerTimeout := a.callerTimeout(r.Header, route)
 	call := &exchanger.Call{
 		ID:            id,
 		Service:       a.roundRobin.next(route),
@@ -240,10 +241,11 @@
 		CallerService: a.LocalService,
 		Priority:      director.ClampPriority(route.Priority),
 		RoutePriority: director.ClampPriority(route.Priority),
-		Deadline:      r.ArrivedAt.Add(a.callTimeout(r.Header, route)),
+		Deadline:      r.ArrivedAt.Add(min(route.Timeout, callerTimeout)),
 		Nested:        route.AllowAnonymous && customer == nil,
 		Idempotent:    route.Kind == director.RouteKindIdempotent,
 	}
+	call.CallerDeadline = r.ArrivedAt.Add(callerTimeout)
 	call.ChainKnown = !call.Nested
 	call.ObjectiveDeadline = r.ArrivedAt.Add(route.LatencyObjective)
 	if customer != nil {
@@ -262,13 +264,13 @@
 	return call
 }
 
-// callTimeout returns the route's timeout, or the caller's if that is shorter.
-func (a *Admitter) callTimeout(h http.Header, route *director.Route) time.Duration {
+// callerTimeout returns how long the caller waits; the route's timeout if it does not say.
+func (a *Admitter) callerTimeout(h http.Header, route *director.Route) time.Duration {
 	millis, err := strconv.ParseFloat(h.Get(a.HeaderNames.Deadline), 64)
 	if err != nil || millis <= 0 {
 		return route.Timeout
 	}
-	return min(route.Timeout, time.Duration(millis*float64(time.Millisecond)))
+	return time.Duration(millis * float64(time.Millisecond))
 }
 
 // rateRefusal returns the refusal for a customer that is over its rate. Retry-After
--- a/internal/admitter/fanout.go
+++ b/internal/admitter/fanout.go
@@ -50,11 +50,13 @@
 		cached map[string]estimator.FanOut
 	}
 
-	// attributedCalls holds the sums of the runs of a route and of the calls that are
-	// attributed to them, with weights that decay over attributedDecayTime.
+	// attributedCalls holds the sums of the runs of a route, of their times and of the
+	// calls that are attributed to them, with weights that decay over attributedDecayTime.
 	attributedCalls struct {
 		runs  averager.DecayingSum
 		calls map[string]*averager.DecayingSum
+		// completed is the number of completed runs and seconds their total time.
+		completed, seconds averager.DecayingSum
 	}
 
 	// windowCounts holds the numbers of runs and calls in one window, by route.
@@ -125,6 +127,10 @@
 		c.attributed[s.Route] = sums
 	}
 	sums.runs.Add(s.EndedAt, attributedDecayTime, 1)
+	if s.Completed {
+		sums.completed.Add(s.EndedAt, attributedDecayTime, 1)
+		sums.seconds.Add(s.EndedAt, attributedDecayTime, s.EndedAt.Sub(s.StartedAt).Seconds())
+	}
 	for called, n := range s.Calls {
 		if sums.calls[called] == nil {
 			sums.calls[called] = &averager.DecayingSum{}
@@ -133,8 +139,8 @@
 	}
 }
 
-// addAttributed adds the mean number of attributed calls per run to the fan-outs. It drops
-// the routes that have not run for a long time.
+// addAttributed adds the mean number of attributed calls per run and the mean service time
+// to the fan-outs. It drops the routes that have not run for a long time.
 func (c *FanOutCounter) addAttributed(fanOuts map[string]estimator.FanOut) {
 	now := c.clock.Now()
 	maps.DeleteFunc(c.attributed, func(_ string, sums *attributedCalls) bool {
@@ -149,6 +155,10 @@
 		for called, calls := range sums.calls {
 			fanOut.Calls[called] += calls.Value(now, attributedDecayTime) / runs
 		}
+		if completed := sums.completed.Value(now, attributedDecayTime); completed > minAttributedRuns {
+			fanOut.ServiceTime = time.Duration(sums.seconds.Value(now, attributedDecayTime) / completed * float64(time.Second))
+			fanOuts[route] = fanOut
+		}
 	}
 }
 
--- a/internal/attributor/attributor.go
+++ b/internal/attributor/attributor.go
@@ -46,6 +46,8 @@
 		Route string
 		// StartedAt and EndedAt are when the run began and ended.
 		StartedAt, EndedAt time.Time
+		// Completed reports whether the backend server answered with success.
+		Completed bool
 		// OwnTime is the time of the run during which none of its calls was pending. It
 		// is the whole time if its calls are not known.
 		OwnTime time.Duration
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -5,6 +5,8 @@
 // use.
 package estimator
 
+import "time"
+
 const (
 	// windowDecay is the factor by which each new window reduces the weight of all
 	// earlier ones.
@@ -42,6 +44,9 @@
 		Runs float64
 		// Calls is the mean number of calls per run, by kind of call.
 		Calls map[string]float64
+		// ServiceTime is the mean time of a run, in which it occupies a slot; 0 if it
+		// is not known. An Estimator does not set it.
+		ServiceTime time.Duration
 	}
 
 	// kindPair is a kind of run with another kind of run or a kind of call.
--- a/internal/exchanger/call.go
+++ b/internal/exchanger/call.go
@@ -43,6 +43,10 @@
 		RoutePriority Priority
 		// Deadline is the time after which the answer is of no use.
 		Deadline time.Time
+		// CallerDeadline is the time until which the caller waits for an answer, also to
+		// an attempt that it makes after a refusal; not before Deadline. Only the node
+		// where the chain starts knows it.
+		CallerDeadline time.Time
 		// ObjectiveDeadline is the time after which the answer is late; not after
 		// Deadline. Only the node where the chain starts knows it.
 		ObjectiveDeadline time.Time
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -1,7 +1,9 @@
 package forwarder
 
 import (
+	"cmp"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -36,6 +38,9 @@
 	// ranksPerPriority is the number of ranks of requests of one priority: two for each
 	// priority of a route.
 	ranksPerPriority = 2 * int(exchanger.PriorityCount)
+	// maxWaitFraction is the fraction of the time until its deadline that a refused
+	// caller waits at most before it returns.
+	maxWaitFraction = 1.0 / 3
 )
 
 type (
@@ -68,7 +73,9 @@
 	if at, refused := f.refusedAt[digest]; refused && now.Sub(at) < refusedTTL {
 		rank--
 	}
-	if f.regulator.Admit(now, c.Route, rank, f.slotSeconds(c)) {
+	costs := f.slotSeconds(c)
+	scarce := f.regulator.Admit(now, c.Route, rank, costs)
+	if len(scarce) == 0 {
 		delete(f.refusedAt, digest)
 		return nil
 	}
@@ -78,9 +85,56 @@
 	f.refusedAt[digest] = now
 	refusal := exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonOverload, "the services below %q bear no more requests of rank %d", c.Service, rank)
 	refusal.RetryAfter = retrier.RetryAfter(c.ObjectiveDeadline.Sub(now), f.random.Float64())
+	for _, service := range scarce {
+		refusal.RetryAfter = max(refusal.RetryAfter, f.returnDelay(c, service, now))
+	}
 	return refusal
 }
 
+// returnDelay returns the delay after which the caller of a refused call should return
+// because most servers of a service are cold; 0 if they are not. The caller must hold f.mu.
+func (f *Forwarder) returnDelay(c *exchanger.Call, service string, now time.Time) time.Duration {
+	recovery, cold := f.recoveryOf(service, now)
+	if !cold {
+		return 0
+	}
+	maxDelay := time.Duration(maxWaitFraction * float64(c.CallerDeadline.Sub(now)))
+	return f.returnPlanner.Plan(now, service, recovery, f.warmSlotSeconds(c, service), maxDelay)
+}
+
+// recoveryOf returns when half of the capacity of a service's servers that take requests is
+// warm, with this node's part of the capacity. It returns false if that is so already. The
+// caller must hold f.mu.
+func (f *Forwarder) recoveryOf(service string, now time.Time) (r retrier.Recovery, cold bool) {
+	var warming []loadReport
+	total := 0.0
+	for name, l := range f.loads {
+		if l.service != service || !f.selected[name] || l.load.Closed || now.Sub(l.receivedAt) > loadTTL {
+			continue
+		}
+		total += l.load.WarmSlots
+		if l.warmAt().After(now) {
+			warming = append(warming, l)
+		}
+	}
+	slices.SortFunc(warming, func(a, b loadReport) int { return a.warmAt().Compare(b.warmAt()) })
+	warm := total
+	for _, l := range warming {
+		warm -= l.load.WarmSlots
+	}
+	for i := 0; i < len(warming) && warm < total/2; i++ {
+		warm += warming[i].load.WarmSlots
+		r.At, cold = warming[i].warmAt(), true
+	}
+	r.Slots = max(1, f.nodesPerSelected[service]) * warm / float64(max(1, len(f.members)))
+	return r, cold
+}
+
+// warmAt returns when the server is warm.
+func (l *loadReport) warmAt() time.Time {
+	return l.receivedAt.Add(l.load.WarmupRemaining)
+}
+
 // CancelAdmission reverts the admission of a request that does not start its chain.
 func (f *Forwarder) CancelAdmission(c *exchanger.Call) {
 	f.mu.Lock()
@@ -116,27 +170,30 @@
 }
 
 // slotSeconds returns the slot time, in seconds, that a call and all its nested calls
-// occupy at each service. The caller must hold f.mu.
+// occupy at each service. Cold servers limit the rate of calls, so there all calls count
+// alike. The caller must hold f.mu.
 func (f *Forwarder) slotSeconds(c *exchanger.Call) map[string]float64 {
 	seconds := map[string]float64{}
 	for edge, calls := range f.callTree(c.Route, c.Service) {
-		callTime := f.serviceCallTime[edge.service]
-		if known := f.routeCallTime.Mean(edge.route); known > 0 {
-			callTime = known
+		serviceTime := calls.serviceTime
+		if f.coldServices[edge.service] {
+			serviceTime = 0
 		}
-		if callTime <= 0 {
-			callTime = defaultCallTime
-		}
-		seconds[edge.service] += calls.mean * callTime.Seconds()
+		serviceTime = cmp.Or(serviceTime, f.serviceCallTime[edge.service], defaultCallTime)
+		seconds[edge.service] += calls.mean * serviceTime.Seconds()
 	}
 	return seconds
 }
 
-// recordCallTime records the time that a complete answer took.
-func (f *Forwarder) recordCallTime(route string, callTime time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.routeCallTime.Add(f.Clock.Now(), route, callTime)
+// warmSlotSeconds returns the slot time, in seconds, that a call and all its nested calls
+// occupy at a service when its servers are warm. The caller must hold f.mu.
+func (f *Forwarder) warmSlotSeconds(c *exchanger.Call, service string) (seconds float64) {
+	for edge, calls := range f.callTree(c.Route, c.Service) {
+		if edge.service == service {
+			seconds += calls.mean * cmp.Or(calls.serviceTime, defaultCallTime).Seconds()
+		}
+	}
+	return seconds
 }
 
 // updatePressure reports the load and capacity of each service to the regulator,
@@ -150,6 +207,7 @@
 	f.regulator.NodeCount = len(f.members)
 	offered, capacity, healthy := map[string]float64{}, map[string]float64{}, map[string]float64{}
 	callTime, count := map[string]time.Duration{}, map[string]int{}
+	totalSlots, coldSlots := map[string]float64{}, map[string]float64{}
 	for name, r := range f.loads {
 		if !f.selected[name] || r.load.Closed || now.Sub(r.receivedAt) > loadTTL {
 			continue
@@ -161,8 +219,13 @@
 		}
 		callTime[r.service] += r.load.MeanServiceTime
 		count[r.service]++
+		totalSlots[r.service] += r.load.WarmSlots
+		if r.warmAt().After(now) {
+			coldSlots[r.service] += r.load.WarmSlots
+		}
 	}
 	for service, slots := range capacity {
+		f.coldServices[service] = coldSlots[service] > totalSlots[service]/2
 		f.serviceCallTime[service] = callTime[service] / time.Duration(count[service])
 		if healthy[service] >= minHealthyFraction*slots {
 			slots = healthy[service]
--- a/internal/forwarder/callattempts.go
+++ b/internal/forwarder/callattempts.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -99,11 +100,7 @@
 		a.forwarder.Retries.Add(1)
 	}
 	a.tried = append(a.tried, m.Name)
-	started := a.forwarder.Clock.Now()
 	reply, refusal := a.forwarder.send(ctx, m, a.call)
-	if refusal == nil && !a.call.Nested && reply.Status < http.StatusInternalServerError {
-		a.forwarder.recordCallTime(a.call.Route, a.forwarder.Clock.Now().Sub(started))
-	}
 	a.forwarder.recordOutcome(m.Name, outcome(refusal))
 	return reply, refusal
 }
@@ -123,6 +120,10 @@
 		a.forwarder.mu.Lock()
 		defer a.forwarder.mu.Unlock()
 		final.RetryAfter = a.forwarder.retryAfter(minDelay)
+		if nodeOverloaded(last) {
+			delay := a.forwarder.returnDelay(a.call, a.call.Service, a.forwarder.Clock.Now())
+			final.RetryAfter = cmp.Or(delay, final.RetryAfter)
+		}
 	}
 	return &final
 }
--- a/internal/forwarder/calltree.go
+++ b/internal/forwarder/calltree.go
@@ -1,6 +1,10 @@
 package forwarder
 
-import "github.com/flamingotack/flamingotack/internal/director"
+import (
+	"time"
+
+	"github.com/flamingotack/flamingotack/internal/director"
+)
 
 const (
 	// maxTreeDepth bounds the depth to which nested calls are followed.
@@ -27,6 +31,8 @@
 		// minFraction is a lower bound of the fraction of trees that make any such
 		// call.
 		minFraction float64
+		// serviceTime is the mean time of a run of the route; 0 if it is not known.
+		serviceTime time.Duration
 	}
 )
 
@@ -69,6 +75,22 @@
 	return mean
 }
 
+// meanServiceTime returns the mean time of a run of a route over the runs of all nodes; 0 if
+// it is not known. The caller must hold f.mu.
+func (f *Forwarder) meanServiceTime(route string) time.Duration {
+	seconds, runs := 0.0, 0.0
+	for _, m := range f.fanOuts {
+		if fanOut := m[route]; fanOut.ServiceTime > 0 {
+			seconds += fanOut.ServiceTime.Seconds() * fanOut.Runs
+			runs += fanOut.Runs
+		}
+	}
+	if runs == 0 {
+		return 0
+	}
+	return time.Duration(seconds / runs * float64(time.Second))
+}
+
 // callTree returns the calls of the tree that starts with a call that matches a route and
 // goes to a service, including that call, by edge. The result is cached until the fan-outs or the routes change and must not be
 // modified. The caller must hold f.mu.
@@ -87,7 +109,11 @@
 // depth more levels.
 func (f *Forwarder) addCallTree(total map[callEdge]edgeCalls, edge callEdge, calls edgeCalls, depth int) {
 	known := total[edge]
-	total[edge] = edgeCalls{mean: known.mean + calls.mean, minFraction: max(known.minFraction, calls.minFraction)}
+	total[edge] = edgeCalls{
+		mean:        known.mean + calls.mean,
+		minFraction: max(known.minFraction, calls.minFraction),
+		serviceTime: f.meanServiceTime(edge.route),
+	}
 	if depth == 0 || calls.mean < minMeanCalls {
 		return
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/flamingotack/flamingotack/internal/averager"
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/guardian"
@@ -53,6 +52,8 @@
 		random      *rand.Rand
 		router      router.Router
 		retryBudget retrier.RetryBudget
+		// returnPlanner plans the returns of refused callers to cold services.
+		returnPlanner retrier.ReturnPlanner
 		// candidates are the connected nodes, by service, that calls may be sent
 		// to.
 		candidates map[string][]router.Candidate
@@ -79,9 +80,10 @@
 		pressureUpdatedAt time.Time
 		regulator         regulator.Regulator
 		// serviceCallTime is the mean duration of a call by service, as nodes
-		// report it, and routeCallTime the one by route, as measured here.
+		// report it.
 		serviceCallTime map[string]time.Duration
-		routeCallTime   averager.MeansByKind
+		// coldServices holds the services of whose capacity most is cold.
+		coldServices map[string]bool
 		// offeredSlots is the mean load that all nodes offer to each service, in
 		// slots.
 		offeredSlots map[string]float64
@@ -138,6 +140,7 @@
 		callTrees:       map[callEdge]map[callEdge]edgeCalls{},
 		loads:           map[string]loadReport{},
 		serviceCallTime: map[string]time.Duration{},
+		coldServices:    map[string]bool{},
 		offeredSlots:    map[string]float64{},
 		refusedAt:       map[uint64]time.Time{},
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -185,6 +185,42 @@
 	}
 }
 
+// TestRefusedCallersReturnWhenServersAreWarm refuses requests because the servers of a
+// downstream service are cold. Callers must be told to return when half of its capacity is
+// warm, also if they would return earlier on their own.
+func TestRefusedCallersReturnWhenServersAreWarm(t *testing.T) {
+	const firstWarm, lastWarm = 900 * time.Millisecond, 1200 * time.Millisecond
+	f, l := newFixture(t, 3)
+	table := director.NewTable(director.State{Config: &director.Config{Routes: []director.Route{
+		{Name: "feed", WeightedServices: []director.WeightedService{{Service: "deep", Weight: 1}}},
+	}}})
+	f.Table = func() *director.Table { return table }
+	f.UpdateFanOuts(l.members[0], map[string]linker.FanOut{"book": {Runs: 100, Calls: map[string]float64{"feed": 5}}})
+	started := time.Now()
+	for i, warmAfter := range []time.Duration{firstWarm, lastWarm, lastWarm} {
+		deep := linker.Member{Name: fmt.Sprint("deep", i), Incarnation: "1", Service: "deep", Domain: "d0"}
+		l.members = append(l.members, deep)
+		f.UpdateLoad(deep, guardian.LoadReport{Sequence: 1, Limit: 1, CapacitySlots: 1, WarmSlots: 50, OfferedSlots: 20, WarmupRemaining: warmAfter, MeanServiceTime: 50 * time.Millisecond})
+	}
+	refused := 0
+	for i := range 100 {
+		c := newCall(false)
+		c.Target = fmt.Sprint("/", i)
+		c.CallerDeadline = c.Deadline
+		refusal := f.Admit(c)
+		if refusal == nil {
+			continue
+		}
+		refused++
+		if at := time.Now().Add(refusal.RetryAfter); at.Before(started.Add(lastWarm)) {
+			t.Errorf("got a return %s before most servers are warm", started.Add(lastWarm).Sub(at))
+		}
+	}
+	if refused < 50 {
+		t.Errorf("got %d of 100 requests refused, want at least half", refused)
+	}
+}
+
 // TestClosedDownstreamServiceRefusesNewChains closes every server of a downstream
 // service. Requests that depend on it must be refused before any call. Other requests
 // are admitted, and so are all as soon as one server is open or the state of a node is
--- a/internal/forwarder/learnedstate.go
+++ b/internal/forwarder/learnedstate.go
@@ -23,7 +23,8 @@
 // LearnedState is stored so that a node that starts while no other node runs knows the
 // fan-outs and the load of the services.
 type LearnedState struct {
-	// FanOuts holds the mean numbers of calls that a run makes, by route.
+	// FanOuts holds the mean numbers of calls that a run makes and its mean time, by
+	// route.
 	FanOuts map[string]linker.FanOut
 	// OfferedSlots is the load that all nodes offer to each service, in slots.
 	OfferedSlots map[string]float64
@@ -58,7 +59,7 @@
 	s := LearnedState{FanOuts: map[string]linker.FanOut{}, OfferedSlots: map[string]float64{}}
 	for route, n := range runs {
 		if n >= minRuns {
-			s.FanOuts[route] = linker.FanOut{Runs: restoredRuns, Calls: f.meanFanOut(route)}
+			s.FanOuts[route] = linker.FanOut{Runs: restoredRuns, Calls: f.meanFanOut(route), ServiceTime: f.meanServiceTime(route)}
 		}
 	}
 	for service, slots := range f.offeredSlots {
--- a/internal/guardian/callqueue.go
+++ b/internal/guardian/callqueue.go
@@ -131,7 +131,9 @@
 	report.Queued = q.scheduler.Len()
 	report.MeanServiceTime = q.meanServiceTime()
 	report.CapacitySlots = float64(report.Limit)
+	report.WarmSlots = report.CapacitySlots
 	if q.isColdAt(now) {
+		report.WarmupRemaining = q.limits.coldUntil.Sub(now)
 		report.CapacitySlots = min(report.CapacitySlots, q.limits.warmupRatePerSecond*warmupRateFraction*report.MeanServiceTime.Seconds())
 		report.Limit = max(1, int(report.CapacitySlots))
 	}
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -54,6 +54,10 @@
 		// occupy. CapacitySlots is the work that the server can handle in the same
 		// unit; it can be below 1 for a cold server.
 		OfferedSlots, CapacitySlots float64
+		// WarmupRemaining is how long the server stays cold; 0 for a warm server.
+		WarmupRemaining time.Duration
+		// WarmSlots is CapacitySlots of the server once it is warm.
+		WarmSlots float64
 		// Failing reports whether many runs fail for a cause within the server.
 		Failing bool
 		// Closed reports whether the node accepts no new calls for its server.
@@ -113,8 +117,12 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	run := g.Runs.StartRun(g.Clock.Now(), c)
 	reply, refusal := g.send(ctx, c)
-	if permit.release(refusal == nil && reply.Status < http.StatusInternalServerError, g.runOutcome(c, reply, refusal)) {
+	summary := g.Runs.EndRun(g.Clock.Now(), run)
+	summary.Completed = refusal == nil && reply.Status < http.StatusInternalServerError
+	g.OnRunEnd(summary)
+	if permit.release(summary.Completed, g.runOutcome(c, reply, refusal)) {
 		g.reportFailingChange()
 	}
 	return reply, refusal
@@ -180,10 +188,8 @@
 func (g *Guardian) send(ctx context.Context, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
 	id := g.instanceID()
 	started := g.Clock.Now()
-	run := g.Runs.StartRun(started, c)
 	response, err := g.Backend.Send(ctx, g.buildRequest(c, id))
 	g.CallsSent.Add(1)
-	g.OnRunEnd(g.Runs.EndRun(g.Clock.Now(), run))
 	if err != nil {
 		refusal := g.classifyError(ctx, err)
 		g.logFailure(c, id, started, refusal)
--- a/internal/linker/convert.go
+++ b/internal/linker/convert.go
@@ -69,7 +69,7 @@
 }
 
 func fromFanOut(route string, fanOut FanOut) *framer.Fans {
-	m := &framer.Fans{Route: route, Runs: float32(fanOut.Runs)}
+	m := &framer.Fans{Route: route, Runs: float32(fanOut.Runs), ServiceMicros: fanOut.ServiceTime.Microseconds()}
 	for called, calls := range fanOut.Calls {
 		m.Fans = append(m.Fans, &framer.Fan{Called: called, Calls: float32(calls)})
 	}
@@ -95,6 +95,8 @@
 		Offered:       float32(l.OfferedSlots),
 		Bears:         float32(l.CapacitySlots),
 		Failing:       l.Failing,
+		WarmupMicros:  l.WarmupRemaining.Microseconds(),
+		BearsWarm:     float32(l.WarmSlots),
 	}
 }
 
@@ -143,7 +145,11 @@
 func toFanOuts(list []*framer.Fans) map[string]FanOut {
 	fanOuts := make(map[string]FanOut, len(list))
 	for _, m := range list {
-		fanOut := FanOut{Runs: float64(m.GetRuns()), Calls: make(map[string]float64, len(m.GetFans()))}
+		fanOut := FanOut{
+			Runs:        float64(m.GetRuns()),
+			Calls:       make(map[string]float64, len(m.GetFans())),
+			ServiceTime: time.Duration(m.GetServiceMicros()) * time.Microsecond,
+		}
 		for _, f := range m.GetFans() {
 			fanOut.Calls[f.GetCalled()] = float64(f.GetCalls())
 		}
@@ -171,6 +177,8 @@
 		OfferedSlots:    float64(m.GetOffered()),
 		CapacitySlots:   float64(m.GetBears()),
 		Failing:         m.GetFailing(),
+		WarmupRemaining: time.Duration(m.GetWarmupMicros()) * time.Microsecond,
+		WarmSlots:       float64(m.GetBearsWarm()),
 	}
 }
 
--- a/internal/linker/news.go
+++ b/internal/linker/news.go
@@ -25,6 +25,9 @@
 	// runsChangeFactor is the factor beyond which a change of the number of runs
 	// behind a fan-out counts as a change of the fan-out.
 	runsChangeFactor = 2.0
+	// serviceTimeChangeFactor is the factor beyond which a change of the service time
+	// counts as a change of the fan-out.
+	serviceTimeChangeFactor = 1.5
 	// peersRequestInterval is the minimum time between two requests for the members
 	// that other nodes know.
 	peersRequestInterval = time.Second
@@ -261,6 +264,9 @@
 		if fanOut.Runs > runsChangeFactor*b[route].Runs {
 			return true
 		}
+		if fanOut.ServiceTime.Seconds() > serviceTimeChangeFactor*b[route].ServiceTime.Seconds() {
+			return true
+		}
 		for called, calls := range fanOut.Calls {
 			if math.Abs(calls-b[route].Calls[called]) > max(minFanOutChangeCalls, fanOutChangeFraction*calls) {
 				return true
--- a/internal/regulator/regulator.go
+++ b/internal/regulator/regulator.go
@@ -50,8 +50,12 @@
 	// of the capacity.
 	minTotalFraction = 0.2
 	// idleTargetFraction is the fraction of the target below which the pressure
-	// shows room for an equal share of every node, whatever the budgets were.
+	// shows room for an equal share of every node with full savings, whatever the
+	// budgets were.
 	idleTargetFraction = 0.5
+	// capacityJumpFactor is the ratio of the capacities in two reports from which the
+	// capacity has jumped.
+	capacityJumpFactor = 1.5
 	// minCapacitySlots is less than the capacity of any server.
 	minCapacitySlots = 0.01
 	// maxSavingTime bounds the time for which an unused budget accrues.
@@ -119,29 +123,30 @@
 	}
 )
 
-// Admit reports whether a request may start its chain. costs is the slot time that
-// the chain occupies at each service, in seconds. A request of a route whose admission
-// ratio is much lower than that of all routes together is treated as rank 0.
-func (r *Regulator) Admit(now time.Time, route string, rank int, costs map[string]float64) bool {
+// Admit returns the services whose budgets do not allow a request to start its chain; none
+// if it may start. costs is the slot time that the chain occupies at each service, in
+// seconds. A request of a route whose admission ratio is much lower than that of all routes
+// together is treated as rank 0.
+func (r *Regulator) Admit(now time.Time, route string, rank int, costs map[string]float64) (scarce []string) {
 	rank = max(0, min(rank, RankCount-1))
 	c := r.countsOf(route)
 	if c.underserved(now, &r.totalCounts) {
 		rank = 0
 	}
 	reserve := reserveFraction * r.relativeRank(now, rank)
-	admitted := true
 	for service, cost := range costs {
 		b := r.budgetOf(now, service)
 		b.accrue(now)
 		if b.limited && b.savedSlotSeconds < b.requiredSlotSeconds(reserve, cost) {
 			b.refusedAt = now
-			admitted = false
+			scarce = append(scarce, service)
 		}
 	}
+	admitted := len(scarce) == 0
 	c.record(now, admitted)
 	r.totalCounts.record(now, admitted)
 	if !admitted {
-		return false
+		return scarce
 	}
 	for service, cost := range costs {
 		b := r.budgets[service]
@@ -150,7 +155,7 @@
 			b.savedSlotSeconds -= cost
 		}
 	}
-	return true
+	return nil
 }
 
 // ExpectLoad sets the load, in slots, that a service will be offered once its servers
@@ -182,7 +187,7 @@
 	b.advanceHistory(now)
 	elapsed := now.Sub(b.reportedAt)
 	b.reportedAt = now
-	b.capacitySlots = max(capacity, minCapacitySlots)
+	b.setCapacity(capacity, r.NodeCount)
 	pressure := offered / b.capacitySlots
 	target := b.targetUtilization()
 	admittedSlots := b.admittedSlotSeconds.Value(now, admittedDecayTime) / admittedDecayTime.Seconds()
@@ -203,10 +208,24 @@
 			wantedFraction = min(wantedFraction, b.capacityFraction)
 		}
 		b.capacityFraction += (1 - math.Exp(-elapsed.Seconds()/settleTime.Seconds())) * (wantedFraction - b.capacityFraction)
-		if pressure < idleTargetFraction*target {
+		idle := pressure < idleTargetFraction*target
+		if idle {
 			minFraction = target / float64(max(1, r.NodeCount))
 		}
 		b.capacityFraction = max(b.capacityFraction, minFraction)
+		if idle && !now.Before(b.noGrowthUntil) {
+			b.savedSlotSeconds = b.maxSavedSlotSeconds()
+		}
+	}
+}
+
+// setCapacity sets the capacity. After a jump, such as when servers have warmed up, the budget
+// is at most an equal share of the target, since the earlier fraction rests on another load.
+func (b *serviceBudget) setCapacity(capacity float64, nodeCount int) {
+	jumped := capacity >= capacityJumpFactor*b.capacitySlots
+	b.capacitySlots = max(capacity, minCapacitySlots)
+	if b.limited && jumped {
+		b.capacityFraction = min(b.capacityFraction, b.targetUtilization()/float64(max(1, nodeCount)))
 	}
 }
 
--- a/internal/regulator/regulator_test.go
+++ b/internal/regulator/regulator_test.go
@@ -1,9 +1,12 @@
 package regulator
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/flamingotack/flamingotack/internal/averager"
 )
 
 var epoch = time.Unix(1_000_000, 0)
@@ -70,7 +73,7 @@
 				share = shares[i+1]
 			}
 			requested[share.rank]++
-			if s.nodes[s.random.IntN(len(s.nodes))].Admit(s.now, share.route, share.rank, map[string]float64{"deep": s.costSeconds}) {
+			if s.nodes[s.random.IntN(len(s.nodes))].Admit(s.now, share.route, share.rank, map[string]float64{"deep": s.costSeconds}) == nil {
 				admitted[share.rank]++
 				startedSlots += s.costSeconds / tickInterval.Seconds()
 			}
@@ -195,7 +198,7 @@
 	s := newSimulation(1, 80, 0.07)
 	s.run(800, 3, 0.2)
 	for range 100 {
-		if !s.nodes[0].Admit(s.now, "download", 5, map[string]float64{"library": 0.05}) {
+		if len(s.nodes[0].Admit(s.now, "download", 5, map[string]float64{"library": 0.05})) > 0 {
 			t.Fatal("got a refusal, want an admission: service library is not overloaded")
 		}
 	}
@@ -228,6 +231,43 @@
 	}
 }
 
+// TestWarmCapacityIsUsedAtOnce guards against refusals in the first moments after servers have
+// warmed up: the budgets are large again, but the savings from which requests of low rank
+// are admitted are still those of the cold time. Demand is a fraction of the warm capacity,
+// so nearly all requests must be admitted at once, of every rank.
+func TestWarmCapacityIsUsedAtOnce(t *testing.T) {
+	const cold, warm, nodes, step = 2, 100, 10, 10 * time.Millisecond
+	const requestsPerStep = 4
+	random := rand.New(rand.NewPCG(1, 2))
+	s := newSimulation(nodes, cold, 0.12)
+	offered := averager.DecayingSum{}
+	run := func(duration time.Duration) (requested, admitted float64) {
+		for end := s.now.Add(duration); s.now.Before(end); {
+			s.now = s.now.Add(step)
+			for i := range nodes {
+				s.nodes[i].ReportLoad(s.now, "deep", offered.Value(s.now, 400*time.Millisecond)/0.4, s.capacitySlots)
+			}
+			for n := range requestsPerStep {
+				requested++
+				route, rank := fmt.Sprint("route", n), []int{1, 5, 9, 13}[n]
+				if len(s.nodes[random.IntN(nodes)].Admit(s.now, route, rank, map[string]float64{"deep": s.costSeconds})) == 0 {
+					admitted++
+					offered.Add(s.now, 400*time.Millisecond, s.costSeconds)
+				}
+			}
+		}
+		return requested, admitted
+	}
+	run(3 * time.Second)
+	if requested, admitted := run(time.Second); admitted > 0.2*requested {
+		t.Errorf("got %.0f of %.0f requests admitted while the servers are cold, want at most a fifth", admitted, requested)
+	}
+	s.capacitySlots = warm
+	if requested, admitted := run(200 * time.Millisecond); admitted < 0.9*requested {
+		t.Errorf("got %.0f of %.0f requests admitted in the first moments after the warm-up, want nine tenths", admitted, requested)
+	}
+}
+
 // TestSurgeOnColdServersBeforeLoadIsReported simulates the first moments after a loss of
 // power. The full earlier load returns to cold servers that have capacity for a fraction
 // of it, and no node has reported any load yet. With the load expected from before, the
@@ -265,7 +305,7 @@
 						continue
 					}
 					requested++
-					if r.Admit(now, "view", 4, costs) {
+					if len(r.Admit(now, "view", 4, costs)) == 0 {
 						admitted++
 					}
 				}
@@ -314,7 +354,7 @@
 			}
 			requested++
 			switch {
-			case r.Admit(now, "view", 4, map[string]float64{"deep": cost}):
+			case len(r.Admit(now, "view", 4, map[string]float64{"deep": cost})) == 0:
 				admitted++
 			case i == 0:
 				refusedAtBusiest++
