Find slow and failing servers in the middle of a chain

Cause: a failure of a run that makes calls was never held against its server, as it may be that of the calls. So servers of the first services kept their part of the calls while every run on them timed out.

Change: the calls of a run are known now. A run that fails although none of its calls failed counts against its server; one that timed out does so if it spent less than half of its time waiting for calls.

The cases of TestSlowServerInMiddleOfChainIsFound that expect a finding fail before.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -299,7 +299,7 @@
 
 // run charges the customer and runs the call. It refunds the token if the call did
 // not run.
-func (a *Admitter) run(ctx context.Context, rc *resolvedCall) (*exchanger.Reply, *exchanger.Refusal) {
+func (a *Admitter) run(ctx context.Context, rc *resolvedCall) (reply *exchanger.Reply, refusal *exchanger.Refusal) {
 	if rc.call.Nested {
 		run := a.Runs.StartCall(a.Clock.Now(), rc.call.ID, rc.call.Route)
 		if run != nil {
@@ -307,7 +307,10 @@
 		} else {
 			a.CountCall(rc.call.Route)
 		}
-		defer func() { a.Runs.EndCall(a.Clock.Now(), run) }()
+		defer func() {
+			failed := refusal != nil || reply.Status >= http.StatusInternalServerError
+			a.Runs.EndCall(a.Clock.Now(), run, failed)
+		}()
 	} else {
 		a.Forwarder.RecordRequest(rc.call.Service)
 		// Admit before charging: tokens may be borrowed from other nodes, so a
@@ -324,7 +327,7 @@
 			return nil, a.rateRefusal(rc)
 		}
 	}
-	reply, refusal := a.Forwarder.Forward(ctx, rc.call, rc.route)
+	reply, refusal = a.Forwarder.Forward(ctx, rc.call, rc.route)
 	if refusal != nil && refusal.Ran == exchanger.RanNo && rc.customer != nil && rc.customer.RatePerSecond > 0 {
 		a.RateLimiter.Refund(rc.customer)
 	}
--- a/internal/attributor/attributor.go
+++ b/internal/attributor/attributor.go
@@ -19,6 +19,8 @@
 		mu sync.Mutex
 		// runs holds the runs in progress by the ID of their call.
 		runs map[string]*Run
+		// attributed reports whether any call has been attributed to a run.
+		attributed bool
 	}
 
 	// Run is a call that runs on the local backend server. Its methods are those of the
@@ -29,8 +31,10 @@
 		// StartedAt is when the call was sent to the backend server.
 		StartedAt time.Time
 
-		// calls holds the number of calls that the run has made, by route.
-		calls map[string]int
+		// calls holds the number of calls that the run has made, by route, and
+		// failedCalls the number of those that have failed.
+		calls       map[string]int
+		failedCalls int
 		// pending is the number of its calls that have no answer yet, and waitingSince
 		// the time since which there are any.
 		pending      int
@@ -51,8 +55,13 @@
 		// OwnTime is the time of the run during which none of its calls was pending. It
 		// is the whole time if its calls are not known.
 		OwnTime time.Duration
-		// Calls holds the number of its calls by route.
-		Calls map[string]int
+		// Calls holds the number of its calls by route, and FailedCalls is the number of
+		// those that have failed.
+		Calls       map[string]int
+		FailedCalls int
+		// CallsKnown reports whether calls of the backend server can be attributed to
+		// runs, so that Calls, FailedCalls and OwnTime are those of the run.
+		CallsKnown bool
 	}
 )
 
@@ -86,6 +95,9 @@
 		EndedAt:   now,
 		OwnTime:   max(0, now.Sub(r.StartedAt)-waited),
 		Calls:     r.calls,
+
+		FailedCalls: r.failedCalls,
+		CallsKnown:  a.attributed,
 	}
 }
 
@@ -103,6 +115,7 @@
 		r.calls = map[string]int{}
 	}
 	r.calls[route]++
+	a.attributed = true
 	if r.pending == 0 {
 		r.waitingSince = now
 	}
@@ -110,13 +123,17 @@
 	return r
 }
 
-// EndCall records that a call of the run has ended. It does nothing if r is nil.
-func (a *Attributor) EndCall(now time.Time, r *Run) {
+// EndCall records that a call of the run has ended, and whether it has failed. It does
+// nothing if r is nil.
+func (a *Attributor) EndCall(now time.Time, r *Run, failed bool) {
 	if r == nil {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if failed {
+		r.failedCalls++
+	}
 	r.pending--
 	if r.pending == 0 {
 		r.waited += now.Sub(r.waitingSince)
--- a/internal/attributor/attributor_test.go
+++ b/internal/attributor/attributor_test.go
@@ -71,7 +71,7 @@
 						pending[i] = a.StartCall(at(ms), "a.b", "ledger")
 					}
 					if c.to == ms {
-						a.EndCall(at(ms), pending[i])
+						a.EndCall(at(ms), pending[i], false)
 					}
 				}
 			}
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -122,7 +122,7 @@
 	summary := g.Runs.EndRun(g.Clock.Now(), run)
 	summary.Completed = refusal == nil && reply.Status < http.StatusInternalServerError
 	g.OnRunEnd(summary)
-	if permit.release(summary.Completed, g.runOutcome(c, reply, refusal)) {
+	if permit.release(summary.Completed, g.runOutcome(&summary, reply, refusal)) {
 		g.reportFailingChange()
 	}
 	return reply, refusal
@@ -202,17 +202,17 @@
 	return reply, refusal
 }
 
-// runOutcome classifies the end of a run for failure detection. A run that makes calls
-// itself may have failed because of those calls.
-func (g *Guardian) runOutcome(c *exchanger.Call, reply *exchanger.Reply, r *exchanger.Refusal) assessor.Outcome {
+// runOutcome classifies the end of a run for failure detection.
+func (g *Guardian) runOutcome(s *attributor.Summary, reply *exchanger.Reply, r *exchanger.Refusal) assessor.Outcome {
+	timedOut := r != nil && r.Reason == exchanger.ReasonDeadline || reply != nil && reply.Status == http.StatusGatewayTimeout
 	switch {
 	case r == nil && reply.Status < http.StatusInternalServerError:
 		return assessor.OutcomeSuccess
 	case r != nil && (r.Reason == exchanger.ReasonServerFull || r.Reason == exchanger.ReasonBroken):
 		return assessor.OutcomeFailure
-	case r != nil && r.Reason != exchanger.ReasonDeadline, !g.IsLeafRoute(c.Route):
+	case r != nil && r.Reason != exchanger.ReasonDeadline, !g.failedByItself(s, timedOut):
 		return assessor.OutcomeIgnored
-	case (r != nil || reply.Status == http.StatusGatewayTimeout) && g.queue.isCold():
+	case timedOut && g.queue.isCold():
 		// A cold server is slow, which its load report already shows.
 		return assessor.OutcomeIgnored
 	default:
@@ -220,6 +220,22 @@
 	}
 }
 
+// failedByItself reports whether the cause of a failed run surely lies in the backend server
+// and not in the calls that the run made: the route makes none, or none of them has failed
+// and the run has not spent most of its time waiting for them.
+func (g *Guardian) failedByItself(s *attributor.Summary, timedOut bool) bool {
+	switch {
+	case g.IsLeafRoute(s.Route):
+		return true
+	case !s.CallsKnown || s.FailedCalls > 0:
+		return false
+	case timedOut:
+		return s.OwnTime > s.EndedAt.Sub(s.StartedAt)/2
+	default:
+		return true
+	}
+}
+
 // reportFailingChange logs that the server has started or stopped failing and calls
 // OnChange.
 func (g *Guardian) reportFailingChange() {
--- a/internal/guardian/guardian_test.go
+++ b/internal/guardian/guardian_test.go
@@ -380,6 +380,47 @@
 	}
 }
 
+// TestSlowServerInMiddleOfChainIsFound guards against servers that keep their part of the
+// calls although all their runs fail, because those runs make calls. Only a failure that
+// surely is the server's own counts: none of the calls failed, and a run that timed out spent
+// most of its time outside of them.
+func TestSlowServerInMiddleOfChainIsFound(t *testing.T) {
+	tests := []struct {
+		name string
+		// before and during are the time before the run's call and the time of the call.
+		before, during time.Duration
+		callFails      bool
+		status         int
+		failing        bool
+	}{
+		{"slow by itself", 700 * time.Millisecond, 100 * time.Millisecond, false, http.StatusGatewayTimeout, true},
+		{"waits for a slow server", 100 * time.Millisecond, 700 * time.Millisecond, false, http.StatusGatewayTimeout, false},
+		{"fails by itself", 10 * time.Millisecond, 10 * time.Millisecond, false, http.StatusInternalServerError, true},
+		{"its call fails", 10 * time.Millisecond, 10 * time.Millisecond, true, http.StatusInternalServerError, false},
+		{"slow and its call fails", 700 * time.Millisecond, 100 * time.Millisecond, true, http.StatusGatewayTimeout, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var f *fixture
+			f = newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+				f.clock.Advance(tt.before)
+				run := f.Runs.StartCall(f.clock.Now(), r.Header.Get("Attempt")+".1", "feed")
+				f.clock.Advance(tt.during)
+				f.Runs.EndCall(f.clock.Now(), run, tt.callFails)
+				w.WriteHeader(tt.status)
+			})
+			f.announce(8, 0)
+			f.IsLeafRoute = func(string) bool { return false }
+			for i := range 12 {
+				_, _ = f.HandleCall(t.Context(), f.newCall(fmt.Sprint(i)))
+			}
+			if got := f.LoadReport().Failing; got != tt.failing {
+				t.Errorf("got failing %t, want %t", got, tt.failing)
+			}
+		})
+	}
+}
+
 // TestFailingServerIsReported checks that a server that refuses calls or fails them is
 // reported as failing, with one immediate call of OnChange. A failed run that makes calls
 // does not count, as those calls may be the cause.
