Add a command that bounds what any policy could serve

flamingotack bound FILE finds by linear programming the mix of requests with the highest worth that fits slots and rates of the services.

--- a/internal/cmd/client.go
+++ b/internal/cmd/client.go
@@ -63,6 +63,7 @@
 		ErrWriter:             s.errOut,
 		Flags:                 clientFlags(),
 		Commands: []*cli.Command{
+			newBoundCmd(),
 			newBurnCmd(),
 			newDemoCmd(),
 			newDomainCmd(),
--- a/internal/cmd/examples_test.go
+++ b/internal/cmd/examples_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"github.com/flamingotack/flamingotack/internal/bounder"
 	"github.com/flamingotack/flamingotack/internal/parser"
 )
 
@@ -37,6 +38,10 @@
 		parse  func(file string, data []byte) error
 		values []any
 	}{
+		{"bound.jsonc", func(file string, data []byte) error {
+			_, err := bounder.ParseDemand(file, data)
+			return err
+		}, []any{bounder.Demand{}, bounder.Service{}, bounder.Kind{}, bounder.Use{}}},
 		{"client.jsonc", func(file string, data []byte) error {
 			_, err := parser.ParseClientSettings(file, data, nil)
 			return err
