--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -3,22 +3,15 @@
 import (
 	"cmp"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/zeebo/xxh3"
 
 	"github.com/flamingotack/flamingotack/internal/exchanger"
-	"github.com/flamingotack/flamingotack/internal/guardian"
 	"github.com/flamingotack/flamingotack/internal/retrier"
 )
 
 const (
-	// pressureInterval is the least time between two updates of the pressure on
-	// the services.
-	pressureInterval = 50 * time.Millisecond
-	// loadTTL is how long a node's load report is valid.
-	loadTTL = 5 * time.Second
 	// refusedTTL is how long after its refusal a request is recognized when its
 	// caller retries it.
 	refusedTTL = 5 * time.Second
@@ -31,10 +24,6 @@
 	// call to a service for the route to depend on it. Requests of the route are refused
 	// while no server of such a service takes requests.
 	requiredFraction = 0.9
-	// minHealthyFraction is the fraction of a service's capacity that must be
-	// healthy for work to be admitted by the healthy capacity alone. Below it, it is
-	// better to start chains on servers where some calls fail than not at all.
-	minHealthyFraction = 0.15
 	// ranksPerPriority is the number of ranks of requests of one priority: two for each
 	// priority of a route.
 	ranksPerPriority = 2 * int(exchanger.PriorityCount)
@@ -43,15 +32,6 @@
 	maxWaitFraction = 1.0 / 3
 )
 
-type (
-	// loadReport is the newest load that a node reported.
-	loadReport struct {
-		service, incarnation string
-		load                 guardian.LoadReport
-		receivedAt           time.Time
-	}
-)
-
 // Admit returns nil if a request may start its chain of calls, or the refusal if
 // the services that it calls lack capacity. A retry of a refused request takes
 // precedence over other requests of its priorities.
@@ -102,39 +82,6 @@
 	return f.returnPlanner.Plan(now, service, recovery, f.warmSlotSeconds(c, service), maxDelay)
 }
 
-// recoveryOf returns when half of the capacity of a service's servers that take requests is
-// warm, with this node's part of the capacity. It returns false if that is so already. The
-// caller must hold f.mu.
-func (f *Forwarder) recoveryOf(service string, now time.Time) (r retrier.Recovery, cold bool) {
-	var warming []loadReport
-	total := 0.0
-	for name, l := range f.loads {
-		if l.service != service || !f.selected[name] || l.load.Closed || now.Sub(l.receivedAt) > loadTTL {
-			continue
-		}
-		total += l.load.WarmSlots
-		if l.warmAt().After(now) {
-			warming = append(warming, l)
-		}
-	}
-	slices.SortFunc(warming, func(a, b loadReport) int { return a.warmAt().Compare(b.warmAt()) })
-	warm := total
-	for _, l := range warming {
-		warm -= l.load.WarmSlots
-	}
-	for i := 0; i < len(warming) && warm < total/2; i++ {
-		warm += warming[i].load.WarmSlots
-		r.At, cold = warming[i].warmAt(), true
-	}
-	r.Slots = max(1, f.nodesPerSelected[service]) * warm / float64(max(1, len(f.members)))
-	return r, cold
-}
-
-// warmAt returns when the server is warm.
-func (l *loadReport) warmAt() time.Time {
-	return l.receivedAt.Add(l.load.WarmupRemaining)
-}
-
 // CancelAdmission reverts the admission of a request that does not start its chain.
 func (f *Forwarder) CancelAdmission(c *exchanger.Call) {
 	f.mu.Lock()
@@ -153,22 +100,6 @@
 	return "", false
 }
 
-// serviceClosed reports whether every node of a service reports that its backend
-// server takes no requests. A node without a current report may have a server that
-// takes them. The caller must hold f.mu.
-func (f *Forwarder) serviceClosed(service string, now time.Time) bool {
-	if service == f.Self.Service {
-		return false
-	}
-	for _, name := range f.nodesByService[service] {
-		r, found := f.loads[name]
-		if !found || !r.load.Closed || now.Sub(r.receivedAt) > loadTTL {
-			return false
-		}
-	}
-	return true
-}
-
 // slotSeconds returns the slot time, in seconds, that a call and all its nested calls
 // occupy at each service. Cold servers limit the rate of calls, so there all calls count
 // alike. The caller must hold f.mu.
@@ -195,43 +126,3 @@
 	}
 	return seconds
 }
-
-// updatePressure reports the load and capacity of each service to the regulator,
-// scaled up from the nodes that are selected for calls. The caller must hold f.mu.
-func (f *Forwarder) updatePressure(now time.Time) {
-	if now.Sub(f.pressureUpdatedAt) < pressureInterval {
-		return
-	}
-	elapsed := now.Sub(f.pressureUpdatedAt)
-	f.pressureUpdatedAt = now
-	f.regulator.NodeCount = len(f.members)
-	offered, capacity, healthy := map[string]float64{}, map[string]float64{}, map[string]float64{}
-	callTime, count := map[string]time.Duration{}, map[string]int{}
-	totalSlots, coldSlots := map[string]float64{}, map[string]float64{}
-	for name, r := range f.loads {
-		if !f.selected[name] || r.load.Closed || now.Sub(r.receivedAt) > loadTTL {
-			continue
-		}
-		offered[r.service] += r.load.OfferedSlots
-		capacity[r.service] += r.load.CapacitySlots
-		if !r.load.Failing {
-			healthy[r.service] += r.load.CapacitySlots
-		}
-		callTime[r.service] += r.load.MeanServiceTime
-		count[r.service]++
-		totalSlots[r.service] += r.load.WarmSlots
-		if r.warmAt().After(now) {
-			coldSlots[r.service] += r.load.WarmSlots
-		}
-	}
-	for service, slots := range capacity {
-		f.coldServices[service] = coldSlots[service] > totalSlots[service]/2
-		f.serviceCallTime[service] = callTime[service] / time.Duration(count[service])
-		if healthy[service] >= minHealthyFraction*slots {
-			slots = healthy[service]
-		}
-		scale := max(1, f.nodesPerSelected[service])
-		f.averageOffered(service, scale*offered[service], elapsed)
-		f.regulator.ReportLoad(now, service, scale*offered[service], scale*slots)
-	}
-}
