Use the clamp of priorities that exists, and read the clock once for a run

linker clamped priorities of other nodes by a copy of director.ClampPriority; send took the start of a run that the run knows already; the comment of attributor.Run spoke of methods that it has not. A call's end no longer reads a missing reply.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -308,7 +308,7 @@
 			a.CountCall(rc.call.Route)
 		}
 		defer func() {
-			failed := refusal != nil || reply.Status >= http.StatusInternalServerError
+			failed := reply == nil || reply.Status >= http.StatusInternalServerError
 			a.Runs.EndCall(a.Clock.Now(), run, failed)
 		}()
 	} else {
--- a/internal/attributor/attributor.go
+++ b/internal/attributor/attributor.go
@@ -23,8 +23,8 @@
 		attributed bool
 	}
 
-	// Run is a call that runs on the local backend server. Its methods are those of the
-	// Attributor that started it.
+	// Run is a call that runs on the local backend server. Only the Attributor that
+	// started it changes it.
 	Run struct {
 		// Call is the call that runs.
 		Call *exchanger.Call
@@ -90,12 +90,11 @@
 		waited += now.Sub(r.waitingSince)
 	}
 	return Summary{
-		Route:     r.Call.Route,
-		StartedAt: r.StartedAt,
-		EndedAt:   now,
-		OwnTime:   max(0, now.Sub(r.StartedAt)-waited),
-		Calls:     r.calls,
-
+		Route:       r.Call.Route,
+		StartedAt:   r.StartedAt,
+		EndedAt:     now,
+		OwnTime:     max(0, now.Sub(r.StartedAt)-waited),
+		Calls:       r.calls,
 		FailedCalls: r.failedCalls,
 		CallsKnown:  a.attributed,
 	}
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -118,7 +118,7 @@
 		return nil, refusal
 	}
 	run := g.Runs.StartRun(g.Clock.Now(), c)
-	reply, refusal := g.send(ctx, c)
+	reply, refusal := g.send(ctx, run)
 	summary := g.Runs.EndRun(g.Clock.Now(), run)
 	summary.Completed = refusal == nil && reply.Status < http.StatusInternalServerError
 	g.OnRunEnd(summary)
@@ -183,11 +183,10 @@
 	g.applyState()
 }
 
-// send sends the call to the backend server and turns the result into a reply or a
-// refusal.
-func (g *Guardian) send(ctx context.Context, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
-	id := g.instanceID()
-	started := g.Clock.Now()
+// send sends the call of the run to the backend server and turns the result into a reply or
+// a refusal.
+func (g *Guardian) send(ctx context.Context, run *attributor.Run) (*exchanger.Reply, *exchanger.Refusal) {
+	id, c, started := g.instanceID(), run.Call, run.StartedAt
 	response, err := g.Backend.Send(ctx, g.buildRequest(c, id))
 	g.CallsSent.Add(1)
 	if err != nil {
--- a/internal/linker/convert.go
+++ b/internal/linker/convert.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/framer"
 	"github.com/flamingotack/flamingotack/internal/guardian"
@@ -126,8 +127,8 @@
 		Body:              m.GetBody(),
 		Customer:          m.GetCustomer(),
 		CallerService:     m.GetCaller(),
-		Priority:          toPriority(m.GetPriority()),
-		RoutePriority:     toPriority(m.GetRoutePriority()),
+		Priority:          director.ClampPriority(int(m.GetPriority())),
+		RoutePriority:     director.ClampPriority(int(m.GetRoutePriority())),
 		ChainCustomer:     m.GetChainCustomer(),
 		ChainKnown:        m.GetChainKnown(),
 		Deadline:          now.Add(time.Duration(m.GetLeftMicros()) * time.Microsecond),
@@ -137,11 +138,6 @@
 	}
 }
 
-// toPriority returns a priority that another node sent, clamped to the range of priorities.
-func toPriority(p int32) exchanger.Priority {
-	return max(0, min(exchanger.Priority(p), exchanger.PriorityCount-1))
-}
-
 func toFanOuts(list []*framer.Fans) map[string]FanOut {
 	fanOuts := make(map[string]FanOut, len(list))
 	for _, m := range list {
