--- a/review/cases/deployment.go
+++ b/review/cases/deployment.go
@@ -33,6 +33,9 @@
 	// it bears meanwhile.
 	warmup     = 3 * time.Second
 	warmupRate = 50
+	// backendDelay is the time from the start of a node that is added to that of its backend
+	// server.
+	backendDelay = 300 * time.Millisecond
 	// settleTimeout bounds the time until the deployment serves.
 	settleTimeout = 30 * time.Second
 	// storeIP is the address of the store.
@@ -153,6 +156,9 @@
 	if err := m.Start(); err != nil {
 		return m, err
 	}
+	if cold {
+		time.Sleep(backendDelay)
+	}
 	s := d.backendSettings
 	s.Service, s.Zone, s.Address, s.HeartbeatAddress = service, zone, m.BackendAddress(), m.HeartbeatAddress()
 	s.Slots, s.Warmup, s.Recorder = slots(service), warmup, d.Recorder
--- a/review/cases/lostjoin.go
+++ b/review/cases/lostjoin.go
@@ -107,18 +107,18 @@
 	for id, at := range ran {
 		runs = append(runs, sentRun{sentAt: sent[id], ranAt: at})
 	}
-	most, from := mostInWindow(runs)
+	most, from := mostInWindow(runs, quotaWindow)
 	allowed := (hotTenant.ratePerSecond*quotaWindow.Seconds()+hotTenant.burst)*(1+quotaOver) + quotaSlack
 	e.Recorder.Printf("result: %d requests of the customer were sent and began to run within %s from %.3f s on, allowed are %.0f", most, quotaWindow, e.Recorder.Since(from).Seconds(), allowed)
 	return float64(most) > allowed, nil
 }
 
 // mostInWindow returns the highest number of requests that were both sent and began to run in
-// a quotaWindow, and the start of that window.
-func mostInWindow(runs []sentRun) (most int, from time.Time) {
+// a window of that length, and the start of the window.
+func mostInWindow(runs []sentRun, length time.Duration) (most int, from time.Time) {
 	slices.SortFunc(runs, func(a, b sentRun) int { return a.sentAt.Compare(b.sentAt) })
 	for i := range runs {
-		end, count := runs[i].sentAt.Add(quotaWindow), 0
+		end, count := runs[i].sentAt.Add(length), 0
 		for _, r := range runs[i:] {
 			if !r.ranAt.After(end) {
 				count++
--- a/review/cmd/reviewer/main.go
+++ b/review/cmd/reviewer/main.go
@@ -28,10 +28,11 @@
 )
 
 var byName = map[string]cases.Case{
-	"crash-request": cases.CrashRequest,
-	"draining-stop": cases.DrainingStop,
-	"lost-join":     cases.LostJoin,
-	"large-body":    cases.LargeBody,
+	"crash-request":     cases.CrashRequest,
+	"partial-heartbeat": cases.PartialHeartbeat,
+	"draining-stop":     cases.DrainingStop,
+	"lost-join":         cases.LostJoin,
+	"large-body":        cases.LargeBody,
 }
 
 func main() {
--- a/review/runner/runner.go
+++ b/review/runner/runner.go
@@ -177,18 +177,44 @@
 func (i *incarnation) sendHeartbeat() error {
 	i.mu.Lock()
 	i.sequence++
-	state := "ready"
+	state, sequence := "ready", i.sequence
 	if i.draining {
 		state = "draining"
 	}
+	i.mu.Unlock()
+	return i.send(map[string]any{"state": state, "callSeq": sequence, "warmupLeft": fmt.Sprintf("%dms", i.warmupLeft().Milliseconds())})
+}
+
+// SendPartialHeartbeat sends a heartbeat for the server as another writer may: with the next
+// sequence number and without the time for which the server stays cold.
+func (r *Runner) SendPartialHeartbeat() error {
+	r.mu.Lock()
+	i := r.incarnation
+	r.mu.Unlock()
+	i.mu.Lock()
+	sequence := i.sequence + 1
+	i.mu.Unlock()
+	r.settings.Recorder.Printf("another writer sends a heartbeat of %s with callSeq %d and without warmupLeft", i.id, sequence)
+	return i.send(map[string]any{"state": "ready", "callSeq": sequence})
+}
+
+// ColdUntil returns when the current incarnation is warm.
+func (r *Runner) ColdUntil() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.incarnation.coldUntil
+}
+
+// send sends a heartbeat with the given status and returns an error if it isn't
+// acknowledged.
+func (i *incarnation) send(status map[string]any) error {
 	s := &i.runner.settings
 	message := map[string]any{
 		"address": s.Address,
 		"born":    i.startUnixMillis,
 		"info":    map[string]any{"service": s.Service, "version": "v1", "zone": s.Zone, "capacity": s.Slots},
-		"status":  map[string]any{"state": state, "callSeq": i.sequence, "warmupLeft": fmt.Sprintf("%dms", i.warmupLeft().Milliseconds())},
+		"status":  status,
 	}
-	i.mu.Unlock()
 	data, err := json.Marshal(message)
 	if err != nil {
 		return err
