--- a/review/launcher/launcher.go
+++ b/review/launcher/launcher.go
@@ -47,6 +47,8 @@
 	backendPort  = 8547
 	firstPort    = 7000
 	lastPort     = 7015
+	// reservationPort is held by the run that uses a network.
+	reservationPort = 6999
 )
 
 type (
@@ -63,10 +65,11 @@
 		// Recorder records what happens to processes.
 		Recorder *recorder.Recorder
 
-		network string
-		command []string
-		mu      sync.Mutex
-		all     []*Instance
+		network     string
+		reservation net.Listener
+		command     []string
+		mu          sync.Mutex
+		all         []*Instance
 	}
 
 	// Instance is a machine with one node.
@@ -101,21 +104,21 @@
 		return nil, errors.New("deploy file has no line run")
 	}
 	p = &Platform{Root: root, Directory: directory, StoreAddress: storeAddress, Zones: zones, Recorder: r, command: strings.Fields(string(match[1]))}
-	p.network, err = freeNetwork()
+	p.network, p.reservation, err = reserveNetwork()
 	return p, err
 }
 
-// freeNetwork returns the first three bytes of loopback addresses whose ports are free.
-func freeNetwork() (network string, err error) {
+// reserveNetwork returns the first three bytes of loopback addresses that no other run uses,
+// as long as the reservation is open.
+func reserveNetwork() (network string, reservation net.Listener, err error) {
 	for third := 1; third < 250; third++ {
 		network = fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, third)
-		listener, err := net.Listen("tcp4", fmt.Sprintf("%s.1:%d", network, firstPort))
+		reservation, err = net.Listen("tcp4", fmt.Sprintf("%s.254:%d", network, reservationPort))
 		if err == nil {
-			listener.Close()
-			return network, nil
+			return network, reservation, nil
 		}
 	}
-	return "", errors.New("no free loopback network")
+	return "", nil, fmt.Errorf("no free loopback network: %w", err)
 }
 
 // InstanceName returns the name of the instance with that number in a zone.
@@ -145,6 +148,9 @@
 	for _, i := range p.all {
 		i.kill()
 	}
+	if p.reservation != nil {
+		p.reservation.Close()
+	}
 }
 
 // CallerAddress is where clients and the backend server send requests.
