--- a/review/cases/deployment.go
+++ b/review/cases/deployment.go
@@ -225,7 +225,7 @@
 
 // configuration returns a configuration as the operator publishes it.
 func configuration(version int, tenants []tenant) ([]byte, error) {
-	var customers []map[string]any
+	customers := make([]map[string]any, 0, 1+len(tenants))
 	for _, t := range append([]tenant{defaultTenant}, tenants...) {
 		customers = append(customers, map[string]any{"name": t.name, "apiKeys": []string{t.key}, "priority": 1, "ratePerS": t.ratePerSecond, "burst": t.burst})
 	}
--- a/review/cmd/reviewer/main.go
+++ b/review/cmd/reviewer/main.go
@@ -54,7 +54,12 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	defer r.Close()
+	defer func() {
+		if err := r.Close(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			code = exitFailed
+		}
+	}()
 	e := &cases.Environment{
 		Root:     filepath.Dir(filepath.Dir(folder)),
 		Trouble:  os.Getenv("TROUBLE") != "0",
--- a/review/keeper/keeper.go
+++ b/review/keeper/keeper.go
@@ -65,7 +65,7 @@
 	mux.HandleFunc("GET /log-newest", k.serveNewest)
 	mux.HandleFunc("GET /log-read", k.serveRead)
 	k.server = &http.Server{Handler: mux}
-	go k.server.Serve(listener)
+	go func() { _ = k.server.Serve(listener) }()
 	return k, nil
 }
 
@@ -167,7 +167,7 @@
 	}
 	slices.Sort(keys)
 	more := len(keys) > maxPageItems
-	items := []map[string]any{}
+	items := make([]map[string]any, 0, min(maxPageItems, len(keys)))
 	for _, key := range keys[:min(maxPageItems, len(keys))] {
 		items = append(items, map[string]any{"privateKey": key, "value": base64.StdEncoding.EncodeToString(newest[key]), "offset": offsets[key]})
 	}
--- a/review/launcher/launcher.go
+++ b/review/launcher/launcher.go
@@ -249,7 +249,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer output.Close()
+	defer func() { _ = output.Close() }()
 	words := i.platform.command
 	command := exec.Command(filepath.Join(i.platform.Root, words[0]), words[1:]...)
 	command.Dir = i.platform.Root
--- a/review/recorder/recorder.go
+++ b/review/recorder/recorder.go
@@ -32,8 +32,9 @@
 func (r *Recorder) Printf(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.writer, "%8.3f ", time.Since(r.startedAt).Seconds())
-	fmt.Fprintf(r.writer, format+"\n", args...)
+	// The writer keeps its first error, which Close returns.
+	_, _ = fmt.Fprintf(r.writer, "%8.3f ", time.Since(r.startedAt).Seconds())
+	_, _ = fmt.Fprintf(r.writer, format+"\n", args...)
 }
 
 // Since returns the time from the start to t.
--- a/review/runner/runner.go
+++ b/review/runner/runner.go
@@ -156,7 +156,7 @@
 	}
 	i.server = &http.Server{Handler: i, IdleTimeout: idleTimeout}
 	r.incarnation = i
-	go i.server.Serve(listener)
+	go func() { _ = i.server.Serve(listener) }()
 	go i.beat()
 	s.Recorder.Printf("backend server %s of service %s started", i.id, s.Service)
 	return nil
@@ -324,7 +324,7 @@
 		return
 	}
 	w.Header().Set("X-Flamingotack-Server-Seal", "seal."+id)
-	fmt.Fprintf(w, "answer to %s", id)
+	_, _ = fmt.Fprintf(w, "answer to %s", id)
 	s.Recorder.Printf("run of %s on %s ended", id, i.id)
 }
 
