Let calls go on at a node that has left the members

Cause: a node whose backend server leaves tells the others at the beginning of its stop, and ends only when its runs have ended. RemoveMember stopped the link with the exchanges that were pending on it.

Change: a link to a member that has left takes no new exchange and is stopped when none is pending. The same on related paths: an unwanted link can't get an exchange between the check that it is idle and its stop, and a stopping node waits until its answers are written, not only until its runs have ended. A later incarnation still ends the exchanges with the former one, whose process has ended.

--- a/internal/composer/stop.go
+++ b/internal/composer/stop.go
@@ -43,7 +43,7 @@
 		elapsed := time.Since(stopStartedAt)
 		load := n.guardian.LoadReport()
 		n.refuseNewChains.Store(elapsed >= lingerDuration)
-		idle := n.acceptor.PendingRequests() == 0 && load.Running == 0
+		idle := n.acceptor.PendingRequests() == 0 && load.Running == 0 && n.linker.Idle()
 		if elapsed >= n.settings.GracePeriod-graceMargin || elapsed >= lingerDuration && idle {
 			n.shutdown(workCtx)
 			n.settings.Logger.Infof("drain ended after %s with %d requests unanswered", time.Since(stopStartedAt), n.acceptor.PendingRequests())
--- a/internal/linker/choice.go
+++ b/internal/linker/choice.go
@@ -111,11 +111,10 @@
 	case k.wanted && k.startedAt.IsZero() && k.linker.ctx != nil && k.linker.ctx.Err() == nil:
 		k.startedAt = now
 		k.start(k.linker.ctx)
-	case !k.wanted && !k.startedAt.IsZero() && now.Sub(k.lastWantedAt) > unwantedLinkTime && k.idle():
+	case !k.wanted && !k.startedAt.IsZero() && now.Sub(k.lastWantedAt) > unwantedLinkTime && k.stopIfIdle():
 		k.startedAt = time.Time{}
 		k.selected = false
 		k.linker.peersVersion.Add(1)
-		k.stop()
 	}
 }
 
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -20,7 +20,8 @@
 	link struct {
 		linker *Linker
 		member Member
-		cancel context.CancelFunc
+		// stopDialing ends the attempts to connect, cancel also the sessions.
+		stopDialing, cancel context.CancelFunc
 
 		// current is the established session, or nil.
 		current atomic.Pointer[session]
@@ -70,7 +71,7 @@
 )
 
 func newLink(l *Linker, m Member) *link {
-	return &link{linker: l, member: m, cancel: func() {}, pending: map[uint64]*exchange{}}
+	return &link{linker: l, member: m, stopDialing: func() {}, cancel: func() {}, pending: map[uint64]*exchange{}}
 }
 
 // requestTokens sends a request for tokens and returns the tokens granted, in thousandths;
@@ -94,12 +95,12 @@
 
 // beginExchange registers an exchange. It returns nil while the link is down.
 func (k *link) beginExchange(idempotent bool) (number uint64, e *exchange) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	s := k.current.Load()
 	if s == nil {
 		return 0, nil
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
 	k.lastNumber++
 	e = &exchange{session: s, idempotent: idempotent, done: make(chan result, 1)}
 	k.pending[k.lastNumber] = e
@@ -145,9 +146,9 @@
 }
 
 // connectAndServe establishes a session and serves it until it ends or is retired. It
-// reports whether a session was established.
-func (k *link) connectAndServe(ctx context.Context) (connected bool) {
-	netConn, err := dialer.New(dialTimeout).DialContext(ctx, "tcp4", k.member.Address)
+// reports whether a session was established. dialCtx bounds the dial, ctx the session.
+func (k *link) connectAndServe(ctx, dialCtx context.Context) (connected bool) {
+	netConn, err := dialer.New(dialTimeout).DialContext(dialCtx, "tcp4", k.member.Address)
 	if err != nil {
 		k.failures.Add(1)
 		return false
@@ -232,22 +233,28 @@
 	}
 }
 
-// idle reports whether no exchange is pending.
-func (k *link) idle() bool {
+// stopIfIdle stops the link if no exchange is pending, and reports whether it did. No
+// exchange begins meanwhile.
+func (k *link) stopIfIdle() (stopped bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return len(k.pending) == 0
+	if len(k.pending) > 0 {
+		return false
+	}
+	k.stop()
+	return true
 }
 
-// redialUntilDone connects again after each failure or end of a session, until ctx ends.
-// The delay doubles from minRedialDelay to maxRedialDelay while connecting fails.
-func (k *link) redialUntilDone(ctx context.Context) {
+// redialUntilDone connects again after each failure or end of a session, until dialCtx ends.
+// The delay doubles from minRedialDelay to maxRedialDelay while connecting fails. ctx bounds
+// the sessions.
+func (k *link) redialUntilDone(ctx, dialCtx context.Context) {
 	delay := minRedialDelay
-	for ctx.Err() == nil {
-		if k.connectAndServe(ctx) {
+	for dialCtx.Err() == nil {
+		if k.connectAndServe(ctx, dialCtx) {
 			delay = minRedialDelay
 		}
-		timekeeper.Sleep(ctx, delay)
+		timekeeper.Sleep(dialCtx, delay)
 		delay = min(maxRedialDelay, 2*delay)
 	}
 }
@@ -299,14 +306,18 @@
 // start connects in the background until ctx ends or stop is called. It returns at once.
 func (k *link) start(ctx context.Context) {
 	ctx, k.cancel = context.WithCancel(ctx)
+	dialCtx, stopDialing := context.WithCancel(ctx)
+	k.stopDialing = stopDialing
 	k.failures.Store(0)
-	k.linker.goroutines.Go(func() { k.redialUntilDone(ctx) })
+	k.linker.goroutines.Go(func() { k.redialUntilDone(ctx, dialCtx) })
 }
 
-// stop ends the current session and further attempts to connect.
+// stop ends the sessions, with the exchanges that are pending on them, and further attempts
+// to connect.
 func (k *link) stop() {
 	k.cancel()
-	if s := k.current.Load(); s != nil {
+	if s := k.current.Swap(nil); s != nil {
+		k.linker.peersVersion.Add(1)
 		s.close()
 	}
 }
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -113,6 +113,9 @@
 		ctx context.Context
 		// links holds one link for each other member by name, started or not.
 		links map[string]*link
+		// leavingLinks holds the links to members that have left, until no exchange is
+		// pending on them.
+		leavingLinks map[*link]struct{}
 		// inbound holds the sessions that other nodes have established.
 		inbound map[*inboundSession]struct{}
 		// linkOrders holds the names of the members by service, in the order in which
@@ -170,6 +173,7 @@
 		self:           self,
 		membersChanged: make(chan struct{}, 1),
 		links:          map[string]*link{},
+		leavingLinks:   map[*link]struct{}{},
 		inbound:        map[*inboundSession]struct{}{},
 		departed:       map[string]struct{}{},
 	}
@@ -229,6 +233,18 @@
 	return acceptConns(ctx, l, listener)
 }
 
+// Idle reports whether this node runs no call for another node and has sent all answers.
+func (l *Linker) Idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for r := range l.inbound {
+		if !r.idle() {
+			return false
+		}
+	}
+	return true
+}
+
 // link returns the link to a member, or nil.
 func (l *Linker) link(name string) *link {
 	l.mu.Lock()
@@ -250,6 +266,12 @@
 	for _, k := range l.links {
 		k.maintain(now)
 	}
+	for k := range l.leavingLinks {
+		k.maintain(now)
+		if k.stopIfIdle() {
+			delete(l.leavingLinks, k)
+		}
+	}
 	for r := range l.inbound {
 		l.sendDueUpdates(r, now, loadSendInterval)
 	}
@@ -262,6 +284,9 @@
 	for _, k := range l.links {
 		k.stop()
 	}
+	for k := range l.leavingLinks {
+		k.stop()
+	}
 }
 
 func unreachableRefusal(name string) *exchanger.Refusal {
--- a/internal/linker/members.go
+++ b/internal/linker/members.go
@@ -41,6 +41,7 @@
 }
 
 // RemoveMember removes a member that has left for good. Its incarnation is not added again.
+// The node may still be at work on calls, so exchanges that are pending there go on.
 func (l *Linker) RemoveMember(m Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -51,7 +52,8 @@
 	if k := l.links[m.Name]; k != nil && k.member.Incarnation == m.Incarnation {
 		l.logger.Infof("node %s, incarnation %s, removed from the members", m.Name, m.Incarnation)
 		delete(l.links, m.Name)
-		k.stop()
+		k.stopDialing()
+		l.leavingLinks[k] = struct{}{}
 		l.recordMemberChange()
 		l.addRumor(m, true)
 	}
@@ -97,6 +99,7 @@
 		return false
 	}
 	if known != nil {
+		// The former process of the node has ended, and with it the calls that it ran.
 		known.stop()
 	}
 	l.logger.Infof("node %s, incarnation %s, service %s, failure domain %s, added to the members", m.Name, m.Incarnation, m.Service, m.Domain)
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -192,11 +192,9 @@
 // runCall runs a call and sends its reply or refusal, together with the load.
 func (r *inboundSession) runCall(ctx context.Context, number uint64, c *exchanger.Call) {
 	l := r.server.linker
+	// The call counts as running until its answer is queued.
+	defer r.endCall(number)
 	reply, refusal := l.handlers.CallHandler.HandleCall(ctx, c)
-	r.mu.Lock()
-	r.cancelFuncs[number]()
-	delete(r.cancelFuncs, number)
-	r.mu.Unlock()
 	load := fromLoad(l.handlers.Load())
 	if refusal != nil {
 		r.session.enqueue(&framer.Frame{Number: number, Refusal: fromRefusal(refusal), Load: load})
@@ -207,3 +205,18 @@
 	frames[0].Load = load
 	r.session.enqueue(frames...)
 }
+
+// endCall releases what belongs to a call whose answer is queued.
+func (r *inboundSession) endCall(number uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cancelFuncs[number]()
+	delete(r.cancelFuncs, number)
+}
+
+// idle reports whether no call of the other node runs and all answers have been sent.
+func (r *inboundSession) idle() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.cancelFuncs) == 0 && r.session.allSent()
+}
--- a/internal/linker/session.go
+++ b/internal/linker/session.go
@@ -44,6 +44,9 @@
 		mu     sync.Mutex
 		queue  []*framer.Frame
 		closed bool
+		// sending is set while the frames that were taken from the queue last are being
+		// sent.
+		sending bool
 	}
 
 	// batchStream is the drpc stream of a client or of a server.
@@ -88,6 +91,13 @@
 	return s.closed
 }
 
+// allSent reports whether no frame waits or is being sent, or the session is closed.
+func (s *session) allSent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed || len(s.queue) == 0 && !s.sending
+}
+
 // isRetired reports whether the session gets no new exchanges.
 func (s *session) isRetired() bool {
 	select {
@@ -169,6 +179,7 @@
 func (s *session) nextBatch() (frames []*framer.Frame) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.sending = false
 	if s.closed {
 		return nil
 	}
@@ -183,5 +194,6 @@
 	if len(s.queue) == 0 {
 		s.queue = nil
 	}
+	s.sending = len(frames) > 0
 	return frames
 }
