Refuse requests that crash backend servers on the platform's path

Cause: nothing on the path of flamingotack-platform remembers a request beyond its end; suspecter was used by flamingotackd alone.

Change: guardian asks suspecter before each run. Broken connections are followed by one connection attempt; a refused one, or a new incarnation without an announced end, makes suspects of the requests whose connections broke. linker spreads them as rumors, and with the news to nodes that start later. Two crashes isolate a request, three refuse it everywhere; a single one restricts nothing. Suspicions and retractions only grow, so each is passed on once.

TestCrashRequestIsRefusedAfterThirdCrash, TestSingleCrashRestrictsNoRequest, TestCrashIsKnownByNewIncarnation, TestSuspectsReachAllNodes, TestRetractedCrashIsNoNews, TestAttempts pass.

--- a/crash_suspects.go
+++ b/crash_suspects.go
@@ -94,7 +94,7 @@
 	if refusal == nil {
 		s.completed++
 	}
-	if updates := s.crashTracker.Finish(id, refusal == nil); len(updates) > 0 {
+	if updates := s.crashTracker.Finish(s.node.dependencies.Clock.Now(), id, refusal == nil); len(updates) > 0 {
 		go s.notifyPeers(updates)
 	}
 }
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -27,6 +27,7 @@
 	"github.com/flamingotack/flamingotack/internal/logger"
 	"github.com/flamingotack/flamingotack/internal/meter"
 	"github.com/flamingotack/flamingotack/internal/publisher"
+	"github.com/flamingotack/flamingotack/internal/suspecter"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
 
@@ -245,6 +246,7 @@
 		Service:     s.Service,
 		Logger:      s.Logger.Named("guardian"),
 		OnRunEnd:    n.fanOutCounter.CountRun,
+		OnSuspects:  func(changed []suspecter.Suspect) { n.linker.SpreadSuspects(changed) },
 		Runs:        runs,
 		Table:       n.table.Load,
 	})
@@ -254,12 +256,14 @@
 		GrantTokens: func(ctx context.Context, key string, milliTokens int64, noBorrow bool) int64 {
 			return n.rateLimiter.GrantTokens(ctx, key, milliTokens, noBorrow)
 		},
-		Load:           n.guardian.LoadReport,
-		CallHandler:    n.guardian,
-		State:          func() director.State { return n.table.Load().State },
-		ReceiveFanOuts: func(m linker.Member, f map[string]linker.FanOut) { n.forwarder.UpdateFanOuts(m, f) },
-		ReceiveLoad:    func(m linker.Member, l guardian.LoadReport) { n.forwarder.UpdateLoad(m, l) },
-		ReceiveState:   n.applyState,
+		Load:             n.guardian.LoadReport,
+		CallHandler:      n.guardian,
+		State:            func() director.State { return n.table.Load().State },
+		ReceiveFanOuts:   func(m linker.Member, f map[string]linker.FanOut) { n.forwarder.UpdateFanOuts(m, f) },
+		ReceiveLoad:      func(m linker.Member, l guardian.LoadReport) { n.forwarder.UpdateLoad(m, l) },
+		ReceiveState:     n.applyState,
+		IsolatedSuspects: n.guardian.IsolatedSuspects,
+		ReceiveSuspects:  n.guardian.MergeSuspects,
 	})
 	n.forwarder = forwarder.New(forwarder.Settings{
 		Clock:              clock,
--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -29,6 +29,7 @@
 		{"flamingotack.connections.open", "Connections of callers.", func() int64 { return int64(n.acceptor.OpenConnections()) }},
 		{"flamingotack.links.up", "Links to other nodes that stand.", func() int64 { return int64(n.linker.ConnectedPeerCount()) }},
 		{"flamingotack.server.failing", "1 while many runs on the backend server end badly.", n.failingValue},
+		{"flamingotack.suspects", "Requests that ran when a backend server crashed and have not ended well since.", func() int64 { return int64(n.guardian.SuspectCount()) }},
 		{"flamingotack.delegate", "1 on a node that holds rates and follows the directory for others.", n.delegateValue},
 	} {
 		if err := n.settings.Meter.RegisterGauge(g.name, g.description, g.value); err != nil {
--- a/internal/forwarder/callattempts.go
+++ b/internal/forwarder/callattempts.go
@@ -112,7 +112,7 @@
 		return a.firstUnknown
 	}
 	final := *last
-	if final.Ran == exchanger.RanNo {
+	if final.Ran == exchanger.RanNo && final.Reason != exchanger.ReasonCrashRequest {
 		minDelay := minOverloadRetryAfter
 		if nodeUnavailable(last) || last.Reason == exchanger.ReasonNoServer {
 			minDelay = minClosedRetryAfter
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -78,6 +78,8 @@
 func TestAttempts(t *testing.T) {
 	notRun := func(reason exchanger.Reason) *exchanger.Refusal { return exchanger.NotRun(503, reason, "") }
 	broken := exchanger.Unknown(502, exchanger.ReasonBroken, "")
+	refusedCrash := exchanger.NotRun(503, exchanger.ReasonCrashRequest, "")
+	refusedCrash.RetryAfter = time.Minute
 	tests := []struct {
 		name       string
 		refusals   []*exchanger.Refusal
@@ -95,6 +97,8 @@
 		{"broken, idempotent", []*exchanger.Refusal{broken}, true, 2, 2, ""},
 		{"broken, no attempts left", []*exchanger.Refusal{broken, broken}, true, 2, 2, exchanger.RanUnknown},
 		{"not run after broken is reported as unknown", []*exchanger.Refusal{broken, notRun(exchanger.ReasonOverload), notRun(exchanger.ReasonOverload)}, true, 3, 3, exchanger.RanUnknown},
+		{"crash request is not tried on another node", []*exchanger.Refusal{exchanger.Unknown(502, exchanger.ReasonCrashRequest, "")}, true, 3, 1, exchanger.RanUnknown},
+		{"refused crash request is not tried on another node", []*exchanger.Refusal{refusedCrash}, true, 3, 1, exchanger.RanNo},
 		{"refusal by the server counts as an attempt", []*exchanger.Refusal{notRun(exchanger.ReasonServerFull)}, false, 1, 1, exchanger.RanNo},
 	}
 	for _, tt := range tests {
--- a/internal/guardian/availability.go
+++ b/internal/guardian/availability.go
@@ -144,12 +144,8 @@
 func (g *Guardian) classifyError(ctx context.Context, err error) *exchanger.Refusal {
 	var dialError *invoker.DialError
 	if errors.As(err, &dialError) {
-		if ctx.Err() == nil && !isLocalResourceError(err) {
-			g.mu.Lock()
-			g.Logger.Warnf("connection to backend server %s failed, health check required: %v", g.server.LastHeartbeat.ID, err)
-			g.server.MarkUnknown()
-			g.applyState()
-			g.mu.Unlock()
+		if ctx.Err() == nil {
+			g.handleDialError(err)
 		}
 		return exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonUnreachable, "the backend server accepts no connection")
 	}
@@ -162,6 +158,22 @@
 	return exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "%v", err)
 }
 
+// handleDialError makes the server's state unknown after a failed dial, unless the cause lies
+// in this process. A refused connection shows that the server has crashed.
+func (g *Guardian) handleDialError(err error) {
+	if isLocalResourceError(err) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Logger.Warnf("connection to backend server %s failed, health check required: %v", g.server.LastHeartbeat.ID, err)
+	if isConnectionRefused(err) {
+		g.recordCrash(g.server, "it accepts no connection")
+	}
+	g.server.MarkUnknown()
+	g.applyState()
+}
+
 // isLocalResourceError reports whether a connection failed because this process has run
 // out of file descriptors or ports, which says nothing about the backend server.
 func isLocalResourceError(err error) bool {
--- a/internal/guardian/callqueue.go
+++ b/internal/guardian/callqueue.go
@@ -176,6 +176,11 @@
 	return changed
 }
 
+// cancel frees the slot of a call that does not run.
+func (p *permit) cancel() {
+	p.queue.freeSlot()
+}
+
 // cancelWaiting removes a call from the queue after its context has ended. The call may
 // have been dispatched at the same moment.
 func (q *callQueue) cancelWaiting(ctx context.Context, id uint64, decision chan *exchanger.Refusal) *exchanger.Refusal {
@@ -197,11 +202,15 @@
 
 // releaseUnused frees the slot of a call that was dispatched but does not run.
 func (q *callQueue) releaseUnused(ctx context.Context) *exchanger.Refusal {
+	q.freeSlot()
+	return cancelRefusal(ctx)
+}
+
+func (q *callQueue) freeSlot() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.running--
 	q.dispatch(q.clock.Now())
-	return cancelRefusal(ctx)
 }
 
 // cancelRefusal returns the refusal of a call whose context ended before it ran.
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -16,6 +16,7 @@
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/invoker"
 	"github.com/flamingotack/flamingotack/internal/logger"
+	"github.com/flamingotack/flamingotack/internal/suspecter"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
 
@@ -29,6 +30,7 @@
 		CallsSent atomic.Int64
 
 		queue             *callQueue
+		suspects          *crashSuspects
 		healthCheckNeeded chan struct{}
 
 		mu     sync.Mutex
@@ -76,6 +78,9 @@
 		// OnChange is called when the server opens or closes and when it starts or
 		// stops failing. It must not block.
 		OnChange func()
+		// OnSuspects is called with requests that other nodes must know to crash backend
+		// servers, or to be harmless. It must not block.
+		OnSuspects func([]suspecter.Suspect)
 		// Clock supplies the current time.
 		Clock timekeeper.Clock
 		// HeaderNames holds the names of the header fields.
@@ -99,6 +104,7 @@
 	g := &Guardian{
 		Settings:          s,
 		queue:             newCallQueue(s.Clock),
+		suspects:          newCrashSuspects(s.Clock),
 		healthCheckNeeded: make(chan struct{}, 1),
 	}
 	g.mu.Lock()
@@ -117,8 +123,14 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	suspectID, refusal := g.suspects.start(c)
+	if refusal != nil {
+		permit.cancel()
+		return nil, refusal
+	}
 	run := g.Runs.StartRun(g.Clock.Now(), c)
 	reply, refusal := g.send(ctx, run)
+	refusal = g.finishSuspect(suspectID, c, refusal)
 	summary := g.Runs.EndRun(g.Clock.Now(), run)
 	summary.Completed = refusal == nil && reply.Status < http.StatusInternalServerError
 	g.OnRunEnd(summary)
@@ -132,7 +144,11 @@
 func (g *Guardian) HandleHeartbeat(h Heartbeat) HeartbeatOutcome {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	before := g.server
 	outcome := g.server.ApplyHeartbeat(g.Clock.Now(), h)
+	if outcome == HeartbeatNewIncarnation && before.LastHeartbeat.ID != "" {
+		g.recordCrash(before, "a new incarnation has started")
+	}
 	if outcome != HeartbeatAccepted {
 		g.Logger.Infof("heartbeat %d of backend server %s, started at %d ms: %s (draining %t, warmup %s)", h.Sequence, h.ID, h.StartUnixMillis, outcome, h.Draining, h.WarmupRemaining)
 	}
@@ -207,7 +223,7 @@
 	switch {
 	case r == nil && reply.Status < http.StatusInternalServerError:
 		return assessor.OutcomeSuccess
-	case r != nil && (r.Reason == exchanger.ReasonServerFull || r.Reason == exchanger.ReasonBroken):
+	case r != nil && (r.Reason == exchanger.ReasonServerFull || r.Reason == exchanger.ReasonBroken || r.Reason == exchanger.ReasonCrashRequest):
 		return assessor.OutcomeFailure
 	case r != nil && r.Reason != exchanger.ReasonDeadline, !g.failedByItself(s, timedOut):
 		return assessor.OutcomeIgnored
--- a/internal/guardian/guardian_test.go
+++ b/internal/guardian/guardian_test.go
@@ -19,6 +19,7 @@
 	"github.com/flamingotack/flamingotack/internal/invoker"
 	"github.com/flamingotack/flamingotack/internal/logger"
 	"github.com/flamingotack/flamingotack/internal/scheduler"
+	"github.com/flamingotack/flamingotack/internal/suspecter"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
 
@@ -54,6 +55,7 @@
 		IsLeafRoute: func(string) bool { return true },
 		Backend:     &invoker.Invoker{Address: strings.TrimPrefix(server.URL, "http://"), HeaderNames: headerNames},
 		OnChange:    func() {},
+		OnSuspects:  func([]suspecter.Suspect) {},
 		Clock:       f.clock,
 		HeaderNames: headerNames,
 		Domain:      "north",
--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -132,6 +132,17 @@
 	return response, nil
 }
 
+// Probe opens a connection and keeps it for a later request. It returns a *DialError if the
+// server accepts none.
+func (v *Invoker) Probe(ctx context.Context) error {
+	c, err := v.dial(ctx)
+	if err != nil {
+		return &DialError{Cause: err}
+	}
+	v.release(c)
+	return nil
+}
+
 // acquire returns an idle connection or a new one.
 func (v *Invoker) acquire(ctx context.Context) (c *conn, err error) {
 	for {
--- a/internal/linker/deployment_test.go
+++ b/internal/linker/deployment_test.go
@@ -5,9 +5,11 @@
 	"net"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/selector"
+	"github.com/flamingotack/flamingotack/internal/suspecter"
 )
 
 // deploymentNodes exceeds the number of nodes of a service to which a node links.
@@ -105,6 +107,26 @@
 	}
 }
 
+// TestSuspectsReachAllNodes guards against requests that crash the backend servers of one node
+// after the other: each node learns of a suspect, also one that starts later.
+func TestSuspectsReachAllNodes(t *testing.T) {
+	nodes := startDeployment(t)
+	suspect := suspecter.Suspect{Digest: suspecter.Digest{1}, CrashedIncarnations: []string{"s1", "s2"}, ExpiresAt: time.Now().Add(time.Minute)}
+	nodes[0].SpreadSuspects(nodes[0].mergeSuspects([]suspecter.Suspect{suspect}))
+	knowsSuspect := func(n *node) bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.suspects.SuspectCount() == 1
+	}
+	awaitAll(t, nodes, knowsSuspect)
+	late := startNode(t, "late")
+	late.AddMember(nodes[3].member, false)
+	await(t, func() bool { return knowsSuspect(late) })
+	retraction := suspecter.Suspect{Digest: suspect.Digest, CrashedIncarnations: suspect.CrashedIncarnations}
+	nodes[7].SpreadSuspects(nodes[7].mergeSuspects([]suspecter.Suspect{retraction}))
+	awaitAll(t, nodes, func(n *node) bool { return !knowsSuspect(n) })
+}
+
 // TestUnusableLinksAreReplaced checks that a node links to other nodes once the backend
 // servers of those that it links to take no work.
 func TestUnusableLinksAreReplaced(t *testing.T) {
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -18,6 +18,7 @@
 	"github.com/flamingotack/flamingotack/internal/guardian"
 	"github.com/flamingotack/flamingotack/internal/logger"
 	"github.com/flamingotack/flamingotack/internal/selector"
+	"github.com/flamingotack/flamingotack/internal/suspecter"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
 
@@ -77,6 +78,8 @@
 		CallHandler exchanger.CallHandler
 		// State returns the configuration in force.
 		State func() director.State
+		// IsolatedSuspects returns the suspects that every node must know.
+		IsolatedSuspects func() []suspecter.Suspect
 		// ReceiveFanOuts receives the fan-outs of a node, by the route of the runs;
 		// also those of this node.
 		ReceiveFanOuts func(Member, map[string]FanOut)
@@ -84,6 +87,9 @@
 		ReceiveLoad func(Member, guardian.LoadReport)
 		// ReceiveState receives a configuration from another node.
 		ReceiveState func(director.State)
+		// ReceiveSuspects receives suspects from another node and returns those that
+		// were news.
+		ReceiveSuspects func([]suspecter.Suspect) (news []suspecter.Suspect)
 	}
 
 	// Linker manages the links to the other nodes. Create it with New. It is safe for
@@ -108,6 +114,8 @@
 		encodedState atomic.Pointer[encodedState]
 		// membersChanged signals that the members have changed.
 		membersChanged chan struct{}
+		// newSuspects holds the suspects whose spreading has not begun.
+		newSuspects suspectList
 
 		mu  sync.Mutex
 		ctx context.Context
@@ -172,6 +180,7 @@
 		logger:         l,
 		self:           self,
 		membersChanged: make(chan struct{}, 1),
+		newSuspects:    suspectList{changed: make(chan struct{}, 1)},
 		links:          map[string]*link{},
 		leavingLinks:   map[*link]struct{}{},
 		inbound:        map[*inboundSession]struct{}{},
@@ -209,6 +218,9 @@
 			timekeeper.Sleep(ctx, l.linksChosenAt.Add(minChoiceInterval).Sub(l.clock.Now()))
 			l.chooseLinks()
 			continue
+		case <-l.newSuspects.changed:
+			l.spreadRumors()
+			continue
 		case <-ticker.C:
 		}
 		l.chooseLinks()
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -18,6 +18,7 @@
 	"github.com/flamingotack/flamingotack/internal/framer"
 	"github.com/flamingotack/flamingotack/internal/guardian"
 	"github.com/flamingotack/flamingotack/internal/logger"
+	"github.com/flamingotack/flamingotack/internal/suspecter"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
 
@@ -35,6 +36,7 @@
 		directoryReachable bool
 		load               guardian.LoadReport
 		receivedLoads      map[string]guardian.LoadReport
+		suspects           suspecter.CrashTracker
 	}
 
 	// proxy forwards connections to a node and can stop doing so.
@@ -79,7 +81,13 @@
 		Load:               n.getLoad,
 		CallHandler:        n,
 		State:              n.getState,
-		ReceiveFanOuts:     func(Member, map[string]FanOut) {},
+		IsolatedSuspects: func() []suspecter.Suspect {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.suspects.Isolated(time.Now())
+		},
+		ReceiveSuspects: n.mergeSuspects,
+		ReceiveFanOuts:  func(Member, map[string]FanOut) {},
 		ReceiveLoad: func(m Member, l guardian.LoadReport) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -106,6 +114,18 @@
 	return n
 }
 
+// mergeSuspects returns the suspects that the node did not know.
+func (n *node) mergeSuspects(received []suspecter.Suspect) (news []suspecter.Suspect) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range received {
+		if n.suspects.Merge(time.Now(), p) {
+			news = append(news, p)
+		}
+	}
+	return news
+}
+
 func (n *node) getDirectoryReachable() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/linker/members.go
+++ b/internal/linker/members.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// rumorRounds is the number of rounds in which a change of the members is sent,
-	// one round in each checkInterval, and rumorTargets the number of sessions to which
-	// it is sent in each round.
+	// rumorRounds is the number of rounds in which a rumor is sent, one round in each
+	// checkInterval, and rumorTargets the number of sessions to which it is sent in each
+	// round.
 	rumorRounds  = 3
 	rumorTargets = 3
 )
@@ -27,11 +27,12 @@
 		Selected, Connected bool
 	}
 
-	// rumor is a change of the members that is spread by rumor mongering (Demers et
-	// al.: "Epidemic Algorithms for Replicated Database Maintenance", 1987).
+	// rumor is a change of the members, or suspects, that are spread by rumor mongering
+	// (Demers et al.: "Epidemic Algorithms for Replicated Database Maintenance", 1987).
 	rumor struct {
-		peer   *framer.Peer
-		rounds int
+		peer     *framer.Peer
+		suspects []*framer.Suspect
+		rounds   int
 	}
 )
 
@@ -180,17 +181,27 @@
 	return list
 }
 
-// spreadRumors sends the latest changes of the members over rumorTargets random sessions.
+// spreadRumors sends the latest rumors over rumorTargets random sessions.
 func (l *Linker) spreadRumors() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if suspects := l.newSuspects.take(); len(suspects) > 0 {
+		l.rumors = append(l.rumors, rumor{suspects: fromSuspects(suspects, l.clock.Now()), rounds: rumorRounds})
+	}
 	if len(l.rumors) == 0 {
 		return
 	}
-	f := &framer.Frame{News: &framer.News{}}
+	f := &framer.Frame{}
 	for i := range l.rumors {
-		f.News.Peers = append(f.News.Peers, l.rumors[i].peer)
-		l.rumors[i].rounds--
+		r := &l.rumors[i]
+		r.rounds--
+		f.Suspects = append(f.Suspects, r.suspects...)
+		if r.peer != nil {
+			if f.News == nil {
+				f.News = &framer.News{}
+			}
+			f.News.Peers = append(f.News.Peers, r.peer)
+		}
 	}
 	l.rumors = slices.DeleteFunc(l.rumors, func(r rumor) bool { return r.rounds <= 0 })
 	sessions := l.openSessions()
--- a/internal/linker/news.go
+++ b/internal/linker/news.go
@@ -114,6 +114,7 @@
 func (l *Linker) fullNewsFrame() *framer.Frame {
 	f := l.newsFrame()
 	f.Load = l.loadFrame().Load
+	f.Suspects = fromSuspects(l.handlers.IsolatedSuspects(), l.clock.Now())
 	for route, fanOut := range l.fanOuts {
 		f.News.Fans = append(f.News.Fans, fromFanOut(route, fanOut))
 	}
@@ -130,7 +131,7 @@
 }
 
 // handleCommonFields handles the fields that frames in both directions may carry: the load,
-// the revision and the state of a node, and its requests for a state or members.
+// the revision, the state and the suspects of a node, and its requests for a state or members.
 func (l *Linker) handleCommonFields(s *session, m Member, f *framer.Frame) {
 	if f.GetLoad() != nil && m.Name != "" {
 		l.handlers.ReceiveLoad(m, toLoad(f.GetLoad()))
@@ -147,6 +148,9 @@
 	if len(f.GetState()) > 0 {
 		l.handleState(m, f.GetState())
 	}
+	if len(f.GetSuspects()) > 0 {
+		l.SpreadSuspects(l.handlers.ReceiveSuspects(toSuspects(f.GetSuspects(), l.clock.Now())))
+	}
 }
 
 // handleNews handles news of another node and its members. direct reports whether that node
--- a/internal/suspecter/crashtracker.go
+++ b/internal/suspecter/crashtracker.go
@@ -1,11 +1,12 @@
 // Package suspecter detects requests that crash the backend servers that run
 // them. A request in flight when its server crashes becomes a suspect. A request
-// that was in flight at two crashes is a crash request and is refused until the
+// that was in flight at several crashes is a crash request and is refused until the
 // suspicion expires. The package reads no clock and is not safe for concurrent
 // use.
 package suspecter
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"slices"
@@ -24,9 +25,12 @@
 )
 
 const (
-	// CrashesToRefuse is the number of distinct incarnations that must crash
+	// CrashesToRefuse is the default number of distinct incarnations that must crash
 	// with a request in flight before the request is refused.
 	CrashesToRefuse = 2
+	// defaultCrashesToIsolate is the default number of them before it runs only while
+	// no other suspect does.
+	defaultCrashesToIsolate = 1
 	// defaultMaxSuspects bounds the suspects; each takes about 200 bytes.
 	defaultMaxSuspects = 4096
 	// defaultSuspicionDuration is how long a suspicion lasts after its last
@@ -35,19 +39,22 @@
 	// lostConnectionWindow is how long after a lost connection a crash of the
 	// server is attributed to the request.
 	lostConnectionWindow = 2 * time.Second
-	// maxCrashedIncarnations bounds the incarnations kept for each suspect.
+	// maxCrashedIncarnations bounds the incarnations kept for each suspect. It is greater
+	// than any number from which requests are refused.
 	maxCrashedIncarnations = 4
 )
 
 type (
-	// Digest identifies a request by customer, service, route, method, path,
-	// query and body, so that a resend through another node is the same request.
+	// Digest identifies a request by customer, calling service, service, route, method,
+	// path, query and body, so that a resend through another node is the same request.
 	Digest [sha256.Size]byte
 
 	// RequestIdentity holds the properties by which two requests are the same.
 	RequestIdentity struct {
 		// Customer is the name of the customer; empty for anonymous requests.
 		Customer string
+		// CallerService is the service where the request started, if it is known.
+		CallerService string
 		// Service and Route determine the backend server.
 		Service, Route string
 		// Method, Path and Query are those of the request.
@@ -61,7 +68,7 @@
 		// Digest identifies the request.
 		Digest Digest
 		// CrashedIncarnations are the distinct incarnations that crashed, at
-		// most four, sorted. When empty, the suspicion has ended.
+		// most four, sorted.
 		CrashedIncarnations []string
 		// ExpiresAt is when the suspicion ends. A suspect that has already
 		// expired retracts its CrashedIncarnations.
@@ -73,17 +80,24 @@
 	CrashTracker struct {
 		// MaxSuspects bounds the suspects; 0 means 4096.
 		MaxSuspects int
+		// CrashesToIsolate and CrashesToRefuse are the numbers of crashed incarnations
+		// from which a suspect runs only while no other one of those does, and from
+		// which it is refused; 0 means 1 and 2.
+		CrashesToIsolate, CrashesToRefuse int
 		// HoldSuspects prevents all suspects from starting.
 		HoldSuspects bool
 		// SuspicionDuration is how long a suspicion lasts after its last crash;
 		// 0 means 5m.
 		SuspicionDuration time.Duration
 
-		// runningSuspectID is the ID of the only suspect in flight; 0 for none.
+		// runningSuspectID is the ID of the only isolated suspect in flight; 0 for none.
 		runningSuspectID uint64
 		inFlight         map[uint64]RequestIdentity
 		lostRequests     []lostRequest
 		suspects         map[Digest]*Suspect
+		// retracted holds the crashes of which requests are not suspected any more,
+		// until the suspicions would have expired. Other nodes may still report them.
+		retracted map[Digest]*Suspect
 	}
 
 	// Verdict is the decision about a request.
@@ -99,7 +113,7 @@
 // NewDigest returns the digest of i.
 func NewDigest(i RequestIdentity) (d Digest) {
 	h := sha256.New()
-	for _, part := range []string{i.Customer, i.Service, i.Route, i.Method, i.Path, i.Query} {
+	for _, part := range []string{i.Customer, i.CallerService, i.Service, i.Route, i.Method, i.Path, i.Query} {
 		var length [8]byte
 		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
 		h.Write(length[:])
@@ -130,7 +144,7 @@
 		return 0, false
 	}
 	p := t.find(now, NewDigest(i))
-	if p == nil || len(p.CrashedIncarnations) < CrashesToRefuse {
+	if p == nil || len(p.CrashedIncarnations) < t.crashesToRefuse() {
 		return 0, false
 	}
 	return p.ExpiresAt.Sub(now), true
@@ -148,27 +162,33 @@
 			continue
 		}
 		seen[d] = true
-		p := t.addSuspicion(now, Suspect{Digest: d, CrashedIncarnations: []string{incarnation}, ExpiresAt: expiresAt})
-		changed = append(changed, p)
+		if p := t.addSuspicion(now, Suspect{Digest: d, CrashedIncarnations: []string{incarnation}, ExpiresAt: expiresAt}); p != nil {
+			changed = append(changed, *p)
+		}
 	}
 	t.lostRequests = nil
 	return changed
 }
 
 // Finish records that a request is no longer in flight. If the server survived
-// it, a suspicion against the request ends; a suspect without crashed
-// incarnations is then returned and must be sent to the other nodes.
-func (t *CrashTracker) Finish(id uint64, serverSurvived bool) (changed []Suspect) {
+// it, a suspicion against the request ends. If the request was isolated, the retraction is
+// then returned and must be sent to the other nodes.
+func (t *CrashTracker) Finish(now time.Time, id uint64, serverSurvived bool) (changed []Suspect) {
 	i, found := t.removeInFlight(id)
 	if !found || !serverSurvived || len(t.suspects) == 0 {
 		return nil
 	}
 	d := NewDigest(i)
-	if _, suspected := t.suspects[d]; !suspected {
+	p, suspected := t.suspects[d]
+	if !suspected {
+		return nil
+	}
+	retraction := Suspect{Digest: d, CrashedIncarnations: p.CrashedIncarnations}
+	t.retract(now, retraction)
+	if len(retraction.CrashedIncarnations) < t.crashesToIsolate() {
 		return nil
 	}
-	delete(t.suspects, d)
-	return []Suspect{{Digest: d}}
+	return []Suspect{retraction}
 }
 
 // RecordLostConnection records that the connection of a request was lost,
@@ -184,19 +204,27 @@
 	}
 }
 
-// Merge applies a suspect received from another node. A suspect without crashed
-// incarnations ends the suspicion; an expired one retracts its crashed
-// incarnations.
-func (t *CrashTracker) Merge(now time.Time, p Suspect) {
-	switch {
-	case len(p.CrashedIncarnations) == 0:
-		delete(t.suspects, p.Digest)
-	case p.ExpiresAt.After(now):
-		p.ExpiresAt = earlier(p.ExpiresAt, now.Add(t.suspicionDuration()))
-		t.addSuspicion(now, p)
-	default:
-		t.retract(p)
+// Merge applies a suspect received from another node. One that has expired retracts its
+// crashed incarnations. Merge reports whether it was news. Each crash is news at most once,
+// and so is its retraction, so that nodes may pass news on.
+func (t *CrashTracker) Merge(now time.Time, p Suspect) (isNews bool) {
+	if !p.ExpiresAt.After(now) {
+		return t.retract(now, p)
+	}
+	before := crashCount(t.suspects[p.Digest])
+	p.ExpiresAt = earlier(p.ExpiresAt, now.Add(t.suspicionDuration()))
+	t.addSuspicion(now, p)
+	return crashCount(t.suspects[p.Digest]) > before
+}
+
+// Isolated returns the suspects that run alone or are refused.
+func (t *CrashTracker) Isolated(now time.Time) (suspects []Suspect) {
+	for _, p := range t.suspects {
+		if len(p.CrashedIncarnations) >= t.crashesToIsolate() && p.ExpiresAt.After(now) {
+			suspects = append(suspects, *p)
+		}
 	}
+	return suspects
 }
 
 // SuspectCount returns the number of suspects.
@@ -234,7 +262,7 @@
 	return p
 }
 
-// checkSuspect lets only one suspect run at a time, so that the next crash does
+// checkSuspect lets only one isolated suspect run at a time, so that the next crash does
 // not implicate harmless requests that became suspects together with the crash
 // request.
 func (t *CrashTracker) checkSuspect(now time.Time, id uint64, d Digest) (v Verdict, timeLeft time.Duration) {
@@ -243,9 +271,12 @@
 		return VerdictRun, 0
 	}
 	timeLeft = p.ExpiresAt.Sub(now)
-	if len(p.CrashedIncarnations) >= CrashesToRefuse {
+	if len(p.CrashedIncarnations) >= t.crashesToRefuse() {
 		return VerdictRefuse, timeLeft
 	}
+	if len(p.CrashedIncarnations) < t.crashesToIsolate() {
+		return VerdictRun, 0
+	}
 	if t.runningSuspectID != 0 || t.HoldSuspects {
 		return VerdictWait, timeLeft
 	}
@@ -253,14 +284,21 @@
 	return VerdictRun, 0
 }
 
-// addSuspicion merges p into the suspects and returns the merged suspect.
-func (t *CrashTracker) addSuspicion(now time.Time, p Suspect) Suspect {
+// addSuspicion merges p into the suspects and returns the merged suspect; nil if all crashes
+// of p have been retracted.
+func (t *CrashTracker) addSuspicion(now time.Time, p Suspect) *Suspect {
 	if t.suspects == nil {
 		t.suspects = map[Digest]*Suspect{}
 	}
+	if r := t.retracted[p.Digest]; r != nil {
+		p.CrashedIncarnations = without(p.CrashedIncarnations, r.CrashedIncarnations)
+	}
+	if len(p.CrashedIncarnations) == 0 {
+		return nil
+	}
 	known := t.find(now, p.Digest)
 	if known == nil {
-		t.evictSuspect(now)
+		evictSuspect(now, t.suspects, t.maxSuspects())
 		known = &Suspect{Digest: p.Digest}
 		t.suspects[p.Digest] = known
 	}
@@ -268,7 +306,7 @@
 	if p.ExpiresAt.After(known.ExpiresAt) {
 		known.ExpiresAt = p.ExpiresAt
 	}
-	return *known
+	return known
 }
 
 func (t *CrashTracker) removeInFlight(id uint64) (i RequestIdentity, found bool) {
@@ -280,39 +318,72 @@
 	return i, found
 }
 
-// evictSuspect makes room for a new suspect. It drops expired suspects or, if
-// there are none, the suspect with the fewest crashed incarnations, of those the
-// one that expires first.
-func (t *CrashTracker) evictSuspect(now time.Time) {
-	if len(t.suspects) < t.maxSuspects() {
+// evictSuspect makes room for a new suspect if there are maxSuspects. It drops expired
+// suspects or, if there are none, the suspect with the fewest crashed incarnations, of
+// those the one that expires first.
+func evictSuspect(now time.Time, suspects map[Digest]*Suspect, maxSuspects int) {
+	if len(suspects) < maxSuspects {
 		return
 	}
 	var evicted *Suspect
-	for d, p := range t.suspects {
+	for d, p := range suspects {
 		if !p.ExpiresAt.After(now) {
-			delete(t.suspects, d)
+			delete(suspects, d)
 			continue
 		}
 		if evicted == nil || p.isEvictedBefore(evicted) {
 			evicted = p
 		}
 	}
-	if evicted != nil && len(t.suspects) >= t.maxSuspects() {
-		delete(t.suspects, evicted.Digest)
+	if evicted != nil && len(suspects) >= maxSuspects {
+		delete(suspects, evicted.Digest)
 	}
 }
 
-func (t *CrashTracker) retract(p Suspect) {
-	known, found := t.suspects[p.Digest]
-	if !found {
-		return
+// retract removes the crashes of p from what is known of the request, for good. It reports
+// whether that was not known.
+func (t *CrashTracker) retract(now time.Time, p Suspect) (isNews bool) {
+	if known := t.suspects[p.Digest]; known != nil {
+		known.CrashedIncarnations = without(known.CrashedIncarnations, p.CrashedIncarnations)
+		if len(known.CrashedIncarnations) == 0 {
+			delete(t.suspects, p.Digest)
+		}
+	}
+	if t.retracted == nil {
+		t.retracted = map[Digest]*Suspect{}
 	}
-	known.CrashedIncarnations = slices.DeleteFunc(slices.Clone(known.CrashedIncarnations), func(incarnation string) bool {
-		return slices.Contains(p.CrashedIncarnations, incarnation)
-	})
-	if len(known.CrashedIncarnations) == 0 {
-		delete(t.suspects, p.Digest)
+	r := t.retracted[p.Digest]
+	if r == nil {
+		evictSuspect(now, t.retracted, t.maxSuspects())
+		r = &Suspect{Digest: p.Digest}
+		t.retracted[p.Digest] = r
+	}
+	before := crashCount(r)
+	r.CrashedIncarnations = union(r.CrashedIncarnations, p.CrashedIncarnations)
+	r.ExpiresAt = now.Add(t.suspicionDuration())
+	return crashCount(r) > before
+}
+
+// crashCount returns the number of crashed incarnations that are known of a suspect, which
+// may be nil.
+func crashCount(p *Suspect) int {
+	if p == nil {
+		return 0
 	}
+	return len(p.CrashedIncarnations)
+}
+
+// without returns the elements of a that are not in b.
+func without(a, b []string) []string {
+	return slices.DeleteFunc(slices.Clone(a), func(s string) bool { return slices.Contains(b, s) })
+}
+
+func (t *CrashTracker) crashesToIsolate() int {
+	return cmp.Or(max(0, t.CrashesToIsolate), defaultCrashesToIsolate)
+}
+
+func (t *CrashTracker) crashesToRefuse() int {
+	return cmp.Or(max(0, t.CrashesToRefuse), CrashesToRefuse)
 }
 
 func (t *CrashTracker) maxSuspects() int {
--- a/internal/suspecter/crashtracker_test.go
+++ b/internal/suspecter/crashtracker_test.go
@@ -63,11 +63,17 @@
 }
 
 // TestOnlyCrashRequestIsRefused runs one crash request among harmless requests
-// that are sent repeatedly. Only the crash request may be in flight at the second
-// crash.
+// that are sent repeatedly. Only the crash request may be in flight at the crash that
+// has it refused.
 func TestOnlyCrashRequestIsRefused(t *testing.T) {
+	for _, limits := range []CrashTracker{{}, {CrashesToIsolate: 2, CrashesToRefuse: 3}} {
+		t.Run(fmt.Sprint(limits.crashesToRefuse()), func(t *testing.T) { testOnlyCrashRequestIsRefused(t, limits) })
+	}
+}
+
+func testOnlyCrashRequestIsRefused(t *testing.T, limits CrashTracker) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := &CrashTracker{}
+		s := &CrashTracker{CrashesToIsolate: limits.CrashesToIsolate, CrashesToRefuse: limits.CrashesToRefuse}
 		now, lastID := epoch, uint64(0)
 		crashRequest := newIdentity(0)
 		crashes := 0
@@ -94,7 +100,7 @@
 				continue
 			}
 			for i := range started {
-				s.Finish(i, true)
+				s.Finish(now, i, true)
 			}
 		}
 		for n := 1; n <= 5; n++ {
@@ -102,10 +108,10 @@
 				t.Fatalf("got harmless request %d refused, want it admitted", n)
 			}
 		}
-		if crashes > CrashesToRefuse {
-			t.Fatalf("got %d crashes, want at most %d", crashes, CrashesToRefuse)
+		if crashes > limits.crashesToRefuse() {
+			t.Fatalf("got %d crashes, want at most %d", crashes, limits.crashesToRefuse())
 		}
-		if _, got := s.RefusedFor(now, crashRequest); got != (crashes == CrashesToRefuse) {
+		if _, got := s.RefusedFor(now, crashRequest); got != (crashes == limits.crashesToRefuse()) {
 			t.Fatalf("got crash request refused %v after %d crashes", got, crashes)
 		}
 	})
@@ -119,7 +125,7 @@
 		b.Merge(epoch, p)
 	}
 	b.Start(epoch, 2, newIdentity(1))
-	for _, p := range b.Finish(2, true) {
+	for _, p := range b.Finish(epoch, 2, true) {
 		a.Merge(epoch, p)
 	}
 	if got := a.SuspectCount() + b.SuspectCount(); got != 0 {
@@ -127,6 +133,25 @@
 	}
 }
 
+// TestRetractedCrashIsNoNews guards against suspicions and retractions that nodes pass on to
+// each other forever.
+func TestRetractedCrashIsNoNews(t *testing.T) {
+	s := &CrashTracker{}
+	suspect := Suspect{Digest: NewDigest(newIdentity(1)), CrashedIncarnations: []string{"x"}, ExpiresAt: epoch.Add(time.Minute)}
+	retraction := Suspect{Digest: suspect.Digest, CrashedIncarnations: suspect.CrashedIncarnations}
+	for i, step := range []struct {
+		suspect Suspect
+		want    bool
+	}{{suspect, true}, {suspect, false}, {retraction, true}, {retraction, false}, {suspect, false}} {
+		if got := s.Merge(epoch, step.suspect); got != step.want {
+			t.Errorf("step %d: got news %t, want %t", i, got, step.want)
+		}
+	}
+	if got := s.SuspectCount(); got != 0 {
+		t.Errorf("got %d suspects, want 0", got)
+	}
+}
+
 func TestLostConnectionWithoutCrashLeavesNoSuspect(t *testing.T) {
 	s := &CrashTracker{}
 	s.Start(epoch, 1, newIdentity(1))
