Match answers on kept connections by their attempt only

Clients could be told "not run, try again" for requests that a backend server had run or was running, and such a request could run at a second one, when a server wrote an earlier refusal once more (reported by other operators).

Cause: an error response that named no attempt counted as the one to the request at hand, also on a kept connection, where it may belong to an earlier request. Health checks, which name no attempt, took any response on a kept connection.

Change: on a kept connection only a response that names the attempt counts; a request without one goes over a new connection.

--- a/internal/invoker/conn.go
+++ b/internal/invoker/conn.go
@@ -57,6 +57,8 @@
 	idleTimeout time.Duration
 	// noReuse is set when the connection must not be used again.
 	noReuse bool
+	// kept is set once the connection has carried a request.
+	kept bool
 }
 
 func newConn(socket net.Conn, totalBodyBytes *atomic.Int64) *conn {
@@ -120,6 +122,7 @@
 		}()
 	}
 	response, err = c.readMatchingResponse(r, idField)
+	c.kept = true
 	if err != nil {
 		return nil, err
 	}
@@ -134,9 +137,9 @@
 	return response, nil
 }
 
-// readMatchingResponse reads responses until the one to this request. An error response
-// that names no attempt counts as the one to this request. It returns errAttemptMismatch
-// after maxResponsesRead other responses.
+// readMatchingResponse reads responses until the one to this request. On a new connection an
+// error response that names no attempt counts as that one; on a kept connection it may belong
+// to an earlier request. It returns errAttemptMismatch after maxResponsesRead other responses.
 func (c *conn) readMatchingResponse(r *Request, idField string) (response *Response, err error) {
 	for range maxResponsesRead {
 		response, err = c.readResponse(r.Method)
@@ -148,7 +151,7 @@
 			c.noReuse = c.noReuse || c.reader.Buffered() > 0
 			return response, nil
 		}
-		if attemptID == "" && response.Status >= http.StatusBadRequest {
+		if attemptID == "" && response.Status >= http.StatusBadRequest && !c.kept {
 			c.noReuse = true
 			return response, nil
 		}
--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -77,8 +77,9 @@
 		Overrides []Field
 		// Body is the whole body.
 		Body []byte
-		// AttemptID is the attempt that the response must name in its header. If
-		// it is empty, any response is accepted.
+		// AttemptID is the attempt that the response must name in its header. If it is
+		// empty, any response is accepted, so the request is sent over a new connection,
+		// where no response to an earlier request can arrive.
 		AttemptID string
 	}
 
@@ -111,7 +112,7 @@
 // Send sends a request and returns the response. The error is a *DialError if nothing was
 // sent. If it is a *BrokenConnectionError or the error of ctx, the request may have run.
 func (v *Invoker) Send(ctx context.Context, r *Request) (response *Response, err error) {
-	c, err := v.acquire(ctx)
+	c, err := v.acquire(ctx, r.AttemptID == "")
 	if err != nil {
 		return nil, &DialError{Cause: err}
 	}
@@ -143,8 +144,11 @@
 	return nil
 }
 
-// acquire returns an idle connection or a new one.
-func (v *Invoker) acquire(ctx context.Context) (c *conn, err error) {
+// acquire returns an idle connection, unless forceNew is set, or a new one.
+func (v *Invoker) acquire(ctx context.Context, forceNew bool) (c *conn, err error) {
+	if forceNew {
+		return v.dial(ctx)
+	}
 	for {
 		c = v.takeIdle()
 		if c == nil {
--- a/internal/invoker/invoker_test.go
+++ b/internal/invoker/invoker_test.go
@@ -141,6 +141,89 @@
 	}
 }
 
+// TestEarlierRefusalOnKeptConnection guards against a request that is reported as not run, and
+// runs again elsewhere, because the server wrote an earlier refusal once more: it counts as the
+// response to no later request, whether it names its attempt or none.
+func TestEarlierRefusalOnKeptConnection(t *testing.T) {
+	const body = "Content-Length: 0\r\n\r\n"
+	for _, earlier := range []string{
+		"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nAttempt: 1\r\n" + body,
+		"HTTP/1.1 503 Full\r\nNot-Run: 1\r\n" + body,
+		"HTTP/1.1 421 Misdirected\r\n" + body,
+		"HTTP/1.1 408 Timeout\r\n" + body,
+	} {
+		for _, runs := range []bool{true, false} {
+			v := newTestInvoker(t, func(c net.Conn, r *http.Request, number int) bool {
+				if number == 1 {
+					_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nAttempt: 1\r\n"+body)
+					return true
+				}
+				_, _ = io.WriteString(c, earlier)
+				if runs {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nAttempt: "+r.Header.Get("Attempt")+"\r\n"+body)
+				}
+				return false
+			})
+			if response, err := v.Send(t.Context(), get("1")); err != nil || response.Status != http.StatusServiceUnavailable {
+				t.Fatalf("got %v, %v for the first request, want its refusal", response, err)
+			}
+			response, err := v.Send(t.Context(), get("2"))
+			var brokenErr *BrokenConnectionError
+			if runs && (err != nil || response.Status != http.StatusOK) || !runs && !errors.As(err, &brokenErr) {
+				t.Errorf("%.30q, answered %t: got %v, %v, want the request's own response or a BrokenConnectionError", earlier, runs, response, err)
+			}
+			if got := v.ConnectionsOpened(); got != 1 {
+				t.Errorf("got %d connections, want both requests on one", got)
+			}
+		}
+	}
+}
+
+// TestRequestWithoutAttemptUsesNewConnection guards against health checks that take a late
+// response to an earlier request for theirs.
+func TestRequestWithoutAttemptUsesNewConnection(t *testing.T) {
+	v := newTestInvoker(t, func(c net.Conn, r *http.Request, number int) bool {
+		response := "HTTP/1.1 200 OK\r\nAttempt: " + r.Header.Get("Attempt") + "\r\nContent-Length: 0\r\n\r\n"
+		if number == 1 {
+			time.AfterFunc(20*time.Millisecond, func() { _, _ = io.WriteString(c, response) })
+		}
+		_, _ = io.WriteString(c, response)
+		return true
+	})
+	if _, err := v.Send(t.Context(), get("1")); err != nil {
+		t.Fatal(err)
+	}
+	response, err := v.Send(t.Context(), &Request{Method: http.MethodGet, Target: "/health", Host: "a"})
+	if err != nil || response.Header.Get("Attempt") != "" {
+		t.Errorf("got %v, %v, want the response to the health check", response, err)
+	}
+	if got := v.ConnectionsOpened(); got != 2 {
+		t.Errorf("got %d connections, want 2", got)
+	}
+}
+
+// TestResponseCutOff guards against answers that look whole although the server closed the
+// connection in the middle of them: each part of a response is an error.
+func TestResponseCutOff(t *testing.T) {
+	for _, whole := range []string{
+		"HTTP/1.1 200 OK\r\nAttempt: 1\r\nSeal: s\r\nContent-Length: 12\r\n\r\nboat and oar",
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nAttempt: 1\r\nSeal: s\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nAttempt: 1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nboat\r\n0\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\nAttempt: 1\r\nSeal: s\r\n\r\n",
+	} {
+		for end := range len(whole) {
+			v := newTestInvoker(t, func(c net.Conn, _ *http.Request, _ int) bool {
+				_, _ = io.WriteString(c, whole[:end])
+				return false
+			})
+			var brokenErr *BrokenConnectionError
+			if response, err := v.Send(t.Context(), get("1")); !errors.As(err, &brokenErr) {
+				t.Errorf("%q: got %v, %v, want a BrokenConnectionError", whole[:end], response, err)
+			}
+		}
+	}
+}
+
 // TestEarlyResponse guards against reuse of a connection on which the rest of a body would
 // have to follow: the server responds before it has read the body.
 func TestEarlyResponse(t *testing.T) {
