Check the range of all values that come from outside

Cause: texts and messages were checked for their form only, each door with its own conversion. What NaN and numbers out of range become as durations depends on the processor.

Deeply nested JSON did no harm.

Change: the new package validator has the checks; members, fan-outs and configurations validate themselves. Odd values are ignored with a log line, and the former ones hold.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -19,6 +19,7 @@
 	"github.com/flamingotack/flamingotack/internal/meter"
 	"github.com/flamingotack/flamingotack/internal/retrier"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
+	"github.com/flamingotack/flamingotack/internal/validator"
 )
 
 const (
@@ -264,13 +265,18 @@
 	return call
 }
 
-// callerTimeout returns how long the caller waits; the route's timeout if it does not say.
+// callerTimeout returns how long the caller waits; the route's timeout if it does not say or
+// says what is no duration.
 func (a *Admitter) callerTimeout(h http.Header, route *director.Route) time.Duration {
 	millis, err := strconv.ParseFloat(h.Get(a.HeaderNames.Deadline), 64)
 	if err != nil || millis <= 0 {
 		return route.Timeout
 	}
-	return time.Duration(millis * float64(time.Millisecond))
+	timeout, err := validator.Duration(millis, time.Millisecond)
+	if err != nil {
+		return route.Timeout
+	}
+	return timeout
 }
 
 // rateRefusal returns the refusal for a customer that is over its rate. Retry-After
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -219,6 +219,21 @@
 	}
 }
 
+// TestOddDeadlineMeansTimeoutOfRoute guards against requests that end at once, or that wait
+// longer than their route allows, because their deadline is no duration.
+func TestOddDeadlineMeansTimeoutOfRoute(t *testing.T) {
+	for _, deadline := range []string{"NaN", "Inf", "1e300", "9e18", "-1", "0", "x", ""} {
+		f := newFixture(t)
+		started := time.Now()
+		f.request(t, "GET /book/1 HTTP/1.1\nHost: a\nAttempt: 7\nDeadline: "+deadline+"\nAuthorization: Bearer k2")
+		c := f.forwarder.calls[0]
+		timeout := f.table.MatchRoute("a", "/book/1").Timeout
+		if got := c.Deadline.Sub(started); got < timeout-100*time.Millisecond || got > timeout+time.Second {
+			t.Errorf("deadline %q: got %s, want the timeout of the route, %s", deadline, got, timeout)
+		}
+	}
+}
+
 // TestWeightedRouteDistribution checks the shares in every run of twenty requests.
 // TestNestedCallHasPrioritiesOfItsChain checks what a call takes over from the run that makes
 // it, and that a call without a known run keeps the priority of its own route.
--- a/internal/director/config.go
+++ b/internal/director/config.go
@@ -8,6 +8,13 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/flamingotack/flamingotack/internal/exchanger"
+	"github.com/flamingotack/flamingotack/internal/validator"
+)
+
+// maxHeaderLimit and maxBodyLimit are the largest limits that are accepted, in bytes.
+const (
+	maxHeaderLimit = 1 << 30
+	maxBodyLimit   = 1 << 40
 )
 
 // Kinds of routes.
@@ -120,9 +127,16 @@
 // configuration is valid.
 func (c *Config) Validate() (err error) {
 	defer func() { err = errors.Wrapf(err, "configuration %d", c.Version) }()
+	if err := c.Limits.validate(); err != nil {
+		return err
+	}
 	services := make(map[string]bool, len(c.Services))
 	for i := range c.Services {
-		services[c.Services[i].Name] = true
+		s := &c.Services[i]
+		services[s.Name] = true
+		if err := errors.CombineErrors(validator.Rate(s.WarmupRatePerSecond), validateDuration(s.Warmup)); err != nil {
+			return errors.Wrapf(err, "warm-up of service %q", s.Name)
+		}
 	}
 	for i := range c.Routes {
 		if err := c.Routes[i].validate(services); err != nil {
@@ -135,6 +149,9 @@
 		if customer.Name == "" {
 			return errors.Newf("customer %d has no name", i)
 		}
+		if err := errors.CombineErrors(validator.Rate(customer.RatePerSecond), validator.Quantity(customer.BurstRequests, validator.MaxRate)); err != nil {
+			return errors.Wrapf(err, "rate of customer %q", customer.Name)
+		}
 		for _, k := range customer.Keys {
 			if owner, taken := keys[k]; taken && owner != customer.Name {
 				return errors.Newf("customers %q and %q have the same key", owner, customer.Name)
@@ -150,6 +167,21 @@
 	return exchanger.Priority(max(0, min(configured, int(exchanger.PriorityCount)-1)))
 }
 
+func (l *Limits) validate() error {
+	switch {
+	case l.MaxHeaderBytes < 0 || l.MaxHeaderBytes > maxHeaderLimit:
+		return errors.Newf("limit of headers is %d bytes, want 0 to %d", l.MaxHeaderBytes, maxHeaderLimit)
+	case l.MaxBodyBytes < 0 || l.MaxBodyBytes > maxBodyLimit:
+		return errors.Newf("limit of bodies is %d bytes, want 0 to %d", l.MaxBodyBytes, int64(maxBodyLimit))
+	}
+	return errors.Wrap(errors.CombineErrors(validateDuration(l.HeaderTimeout), validateDuration(l.IdleTimeout)), "limits")
+}
+
+// validateDuration returns an error if a duration is negative or too long.
+func validateDuration(d time.Duration) error {
+	return validator.Quantity(d.Seconds(), validator.MaxDuration.Seconds())
+}
+
 func (r *Route) validate(services map[string]bool) error {
 	switch {
 	case r.Host == "":
@@ -165,13 +197,16 @@
 	case len(r.WeightedServices) == 0:
 		return errors.Newf("route %q has no service", r.Name)
 	}
+	if err := errors.CombineErrors(validateDuration(r.Timeout), validateDuration(r.LatencyObjective)); err != nil {
+		return errors.Wrapf(err, "route %q", r.Name)
+	}
 	total := 0.0
 	for _, s := range r.WeightedServices {
 		if !services[s.Service] {
 			return errors.Newf("route %q: service %q is unknown", r.Name, s.Service)
 		}
-		if s.Weight < 0 {
-			return errors.Newf("route %q: weight %v of service %q is negative", r.Name, s.Weight, s.Service)
+		if err := validator.Quantity(s.Weight, validator.MaxRate); err != nil {
+			return errors.Wrapf(err, "route %q: weight of service %q", r.Name, s.Service)
 		}
 		total += s.Weight
 	}
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -5,7 +5,13 @@
 // use.
 package estimator
 
-import "time"
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/flamingotack/flamingotack/internal/validator"
+)
 
 const (
 	// windowDecay is the factor by which each new window reduces the weight of all
@@ -22,6 +28,9 @@
 	// minCallsPerRun is the mean number of calls per run below which a kind of call
 	// is left out.
 	minCallsPerRun = 0.02
+	// maxCallsPerRun is the highest number of calls of one kind per run that is accepted
+	// from outside.
+	maxCallsPerRun = 1e6
 )
 
 type (
@@ -55,6 +64,15 @@
 	}
 )
 
+// Validate returns an error if a number of the fan-out is out of range.
+func (f *FanOut) Validate() error {
+	err := errors.CombineErrors(validator.Quantity(f.Runs, validator.MaxRate), validator.Quantity(f.ServiceTime.Seconds(), validator.MaxDuration.Seconds()))
+	for called, calls := range f.Calls {
+		err = errors.CombineErrors(err, errors.Wrapf(validator.Quantity(calls, maxCallsPerRun), "calls of %q", called))
+	}
+	return errors.Wrap(err, "fan-out")
+}
+
 // AddWindow adds the numbers of runs and calls of one window, by kind. It ignores kinds of
 // runs beyond maxRunKinds.
 func (e *Estimator) AddWindow(runs, calls map[string]float64) {
--- a/internal/guardian/availability.go
+++ b/internal/guardian/availability.go
@@ -12,6 +12,7 @@
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/invoker"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
+	"github.com/flamingotack/flamingotack/internal/validator"
 )
 
 const (
@@ -110,7 +111,7 @@
 		return false
 	}
 	id := response.Header.Get(g.HeaderNames.Instance)
-	warmup, err := parseMillis(response.Header.Get(g.HeaderNames.Warmup))
+	warmup, err := parseWarmup(response.Header.Get(g.HeaderNames.Warmup))
 	if response.Status != http.StatusOK || err != nil {
 		g.Logger.Warnf("health check of backend server %s failed: status %d, error %v", id, response.Status, err)
 		return false
@@ -231,9 +232,9 @@
 	}
 }
 
-// parseMillis parses a number of milliseconds; empty text means 0. It returns an error
-// for text that is not a number.
-func parseMillis(text string) (d time.Duration, err error) {
+// parseWarmup parses a number of milliseconds up to MaxWarmup; empty text means 0. It returns
+// an error for text that is not a number or out of range.
+func parseWarmup(text string) (d time.Duration, err error) {
 	if text == "" {
 		return 0, nil
 	}
@@ -241,5 +242,8 @@
 	if err != nil {
 		return 0, errors.Wrapf(err, "parse %q as a number of milliseconds", text)
 	}
-	return time.Duration(millis * float64(time.Millisecond)), nil
+	if err := validator.Quantity(millis, float64(MaxWarmup.Milliseconds())); err != nil {
+		return 0, err
+	}
+	return validator.Duration(millis, time.Millisecond)
 }
--- a/internal/guardian/guardian_test.go
+++ b/internal/guardian/guardian_test.go
@@ -201,6 +201,21 @@
 	}
 }
 
+// TestOddWarmupFailsHealthCheck guards against a warm-up that is no duration, which would make
+// the server cold for ever or not at all.
+func TestOddWarmupFailsHealthCheck(t *testing.T) {
+	for _, text := range []string{"NaN", "Inf", "1e300", "-5", "x", "9000000000"} {
+		f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Instance", "s1")
+			w.Header().Set("Warmup", text)
+		})
+		f.HandleHeartbeat(Heartbeat{ID: "s1", StartUnixMillis: 1, Sequence: 1, Slots: 8})
+		if f.checkHealth(t.Context()) {
+			t.Errorf("warm-up %q: got the server healthy, want the check to fail", text)
+		}
+	}
+}
+
 // TestDrainingRefusesQueuedCalls checks that a draining server refuses queued calls at
 // once while running calls continue.
 func TestDrainingRefusesQueuedCalls(t *testing.T) {
--- a/internal/guardian/serverstate.go
+++ b/internal/guardian/serverstate.go
@@ -21,6 +21,8 @@
 	// minTrustedHeartbeats is the number of heartbeats in a row after which a
 	// server counts as ready without a successful health check.
 	minTrustedHeartbeats = 3
+	// MaxWarmup is the longest warm-up that a heartbeat may tell.
+	MaxWarmup = time.Hour
 )
 
 type (
--- a/internal/linker/convert.go
+++ b/internal/linker/convert.go
@@ -4,10 +4,20 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/framer"
 	"github.com/flamingotack/flamingotack/internal/guardian"
+	"github.com/flamingotack/flamingotack/internal/validator"
+)
+
+// maxRefusalStatus and maxReplyStatus are the highest HTTP status codes of a refusal and of
+// a backend server's answer.
+const (
+	maxRefusalStatus = 599
+	maxReplyStatus   = 999
 )
 
 // callFrames returns the frames of a call that is sent at the time now.
@@ -131,7 +141,7 @@
 		RoutePriority:     director.ClampPriority(int(m.GetRoutePriority())),
 		ChainCustomer:     m.GetChainCustomer(),
 		ChainKnown:        m.GetChainKnown(),
-		Deadline:          now.Add(time.Duration(m.GetLeftMicros()) * time.Microsecond),
+		Deadline:          now.Add(validator.Micros(m.GetLeftMicros())),
 		Nested:            m.GetInner(),
 		Idempotent:        m.GetRepeatable(),
 		RefusedByFullNode: m.GetMoved(),
@@ -144,7 +154,7 @@
 		fanOut := FanOut{
 			Runs:        float64(m.GetRuns()),
 			Calls:       make(map[string]float64, len(m.GetFans())),
-			ServiceTime: time.Duration(m.GetServiceMicros()) * time.Microsecond,
+			ServiceTime: validator.Micros(m.GetServiceMicros()),
 		}
 		for _, f := range m.GetFans() {
 			fanOut.Calls[f.GetCalled()] = float64(f.GetCalls())
@@ -162,20 +172,29 @@
 	return h
 }
 
-func toLoad(m *framer.Load) guardian.LoadReport {
+// toLoad returns an error if a number is out of range.
+func toLoad(m *framer.Load) (report guardian.LoadReport, err error) {
+	for _, value := range []float64{
+		float64(m.GetLimit()), float64(m.GetRunning()), float64(m.GetQueued()),
+		float64(m.GetOffered()), float64(m.GetBears()), float64(m.GetBearsWarm()),
+	} {
+		if err := validator.Quantity(value, validator.MaxRate); err != nil {
+			return report, errors.Wrap(err, "load report")
+		}
+	}
 	return guardian.LoadReport{
 		Sequence:        m.GetSequence(),
 		Limit:           int(m.GetLimit()),
 		Running:         int(m.GetRunning()),
 		Queued:          int(m.GetQueued()),
 		Closed:          m.GetClosed(),
-		MeanServiceTime: time.Duration(m.GetServiceMicros()) * time.Microsecond,
+		MeanServiceTime: validator.Micros(m.GetServiceMicros()),
 		OfferedSlots:    float64(m.GetOffered()),
 		CapacitySlots:   float64(m.GetBears()),
 		Failing:         m.GetFailing(),
-		WarmupRemaining: time.Duration(m.GetWarmupMicros()) * time.Microsecond,
+		WarmupRemaining: validator.Micros(m.GetWarmupMicros()),
 		WarmSlots:       float64(m.GetBearsWarm()),
-	}
+	}, nil
 }
 
 // memberMessage is implemented by the messages that describe a member.
@@ -191,11 +210,20 @@
 	return Member{Name: m.GetName(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), Service: m.GetService(), Domain: m.GetDomain()}
 }
 
+// toRefusal returns nil for a frame without a refusal. A refusal whose status is none, and a
+// reply whose status is not that of a whole answer, become a refusal of a call that may have
+// run.
 func toRefusal(f *framer.Frame) *exchanger.Refusal {
+	if r := f.GetReply(); r != nil && !isReplyStatus(r.GetStatus()) {
+		return exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the reply has status %d", r.GetStatus())
+	}
 	m := f.GetRefusal()
 	if m == nil {
 		return nil
 	}
+	if m.GetStatus() < http.StatusBadRequest || m.GetStatus() > maxRefusalStatus {
+		return exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the refusal has status %d", m.GetStatus())
+	}
 	ran := exchanger.RanNo
 	if m.GetRan() {
 		ran = exchanger.RanUnknown
@@ -205,14 +233,20 @@
 		Ran:        ran,
 		Reason:     exchanger.Reason(m.GetReason()),
 		Detail:     m.GetDetail(),
-		RetryAfter: time.Duration(m.GetRetryMicros()) * time.Microsecond,
+		RetryAfter: validator.Micros(m.GetRetryMicros()),
 	}
 }
 
+// toReply returns nil for a frame without a valid reply.
 func toReply(f *framer.Frame) *exchanger.Reply {
 	m := f.GetReply()
-	if m == nil {
+	if m == nil || !isReplyStatus(m.GetStatus()) {
 		return nil
 	}
 	return &exchanger.Reply{Status: int(m.GetStatus()), Header: toHeader(m.GetHeader()), Body: m.GetBody(), ServerNode: m.GetServer()}
 }
+
+// isReplyStatus reports whether an HTTP status code is that of a whole answer.
+func isReplyStatus(status int32) bool {
+	return status >= http.StatusOK && status <= maxReplyStatus
+}
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -56,6 +56,8 @@
 		session *session
 		// idempotent reports whether the request may be retried on another node.
 		idempotent bool
+		// askedMilliTokens is the number of tokens that the request asks for.
+		askedMilliTokens int64
 		// done is buffered and receives one result.
 		done chan result
 		// partialReply is a reply of which more frames follow.
@@ -77,7 +79,7 @@
 // requestTokens sends a request for tokens and returns the tokens granted, in thousandths;
 // 0 if the link is down or no answer comes before ctx ends.
 func (k *link) requestTokens(ctx context.Context, a *framer.Ask) (grantedMilliTokens int64) {
-	number, e := k.beginExchange(true)
+	number, e := k.beginExchange(&exchange{idempotent: true, askedMilliTokens: a.GetTokens()})
 	if e == nil {
 		return 0
 	}
@@ -93,8 +95,8 @@
 	}
 }
 
-// beginExchange registers an exchange. It returns nil while the link is down.
-func (k *link) beginExchange(idempotent bool) (number uint64, e *exchange) {
+// beginExchange registers e on the current session. It returns nil while the link is down.
+func (k *link) beginExchange(e *exchange) (number uint64, begun *exchange) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := k.current.Load()
@@ -102,7 +104,7 @@
 		return 0, nil
 	}
 	k.lastNumber++
-	e = &exchange{session: s, idempotent: idempotent, done: make(chan result, 1)}
+	e.session, e.done = s, make(chan result, 1)
 	k.pending[k.lastNumber] = e
 	return k.lastNumber, e
 }
@@ -261,7 +263,7 @@
 
 // send sends a call and waits for its reply until replyMargin after its deadline.
 func (k *link) send(ctx context.Context, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
-	number, e := k.beginExchange(c.Idempotent)
+	number, e := k.beginExchange(&exchange{idempotent: c.Idempotent})
 	if e == nil {
 		return nil, unreachableRefusal(k.member.Name)
 	}
@@ -357,5 +359,9 @@
 	}
 	delete(k.pending, f.GetNumber())
 	k.closeRetiredIfIdle(e.session)
-	e.done <- result{reply: e.partialReply, refusal: toRefusal(f), grantedMilliTokens: max(0, f.GetGrant())}
+	r := result{reply: e.partialReply, refusal: toRefusal(f), grantedMilliTokens: min(max(0, f.GetGrant()), e.askedMilliTokens)}
+	if r.reply == nil && r.refusal == nil && f.GetGrant() == 0 {
+		r.refusal = exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the answer of node %s has no reply", k.member.Name)
+	}
+	e.done <- r
 }
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/estimator"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
@@ -20,6 +22,7 @@
 	"github.com/flamingotack/flamingotack/internal/selector"
 	"github.com/flamingotack/flamingotack/internal/suspecter"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
+	"github.com/flamingotack/flamingotack/internal/validator"
 )
 
 const (
@@ -172,6 +175,22 @@
 	}
 )
 
+// Validate returns an error that names the first property that is missing or invalid.
+func (m *Member) Validate() (err error) {
+	defer func() { err = errors.Wrapf(err, "member %q", m.Name) }()
+	for _, property := range []struct{ name, value string }{
+		{"name", m.Name},
+		{"incarnation", m.Incarnation},
+		{"service", m.Service},
+		{"failure domain", m.Domain},
+	} {
+		if property.value == "" {
+			return errors.Newf("%s is missing", property.name)
+		}
+	}
+	return validator.Address(m.Address)
+}
+
 // New returns a Linker without links.
 func New(self Member, clock timekeeper.Clock, l *logger.Logger, h Handlers) *Linker {
 	return &Linker{
--- a/internal/linker/members.go
+++ b/internal/linker/members.go
@@ -83,10 +83,13 @@
 
 // AddMember adds a member and reports whether it was new. A member of the same name with
 // other properties is replaced if authoritative is set or the new incarnation is a later
-// one. This node, a member without a name or an address, and a departed incarnation are
-// ignored.
+// one. This node, an invalid member and a departed incarnation are ignored.
 func (l *Linker) AddMember(m Member, authoritative bool) (added bool) {
-	if m.Name == l.self.Name || m.Name == "" || m.Address == "" {
+	if m.Name == l.self.Name {
+		return false
+	}
+	if err := m.Validate(); err != nil {
+		l.logger.Warnf("member ignored: %v", err)
 		return false
 	}
 	l.mu.Lock()
--- a/internal/linker/news.go
+++ b/internal/linker/news.go
@@ -134,7 +134,7 @@
 // the revision, the state and the suspects of a node, and its requests for a state or members.
 func (l *Linker) handleCommonFields(s *session, m Member, f *framer.Frame) {
 	if f.GetLoad() != nil && m.Name != "" {
-		l.handlers.ReceiveLoad(m, toLoad(f.GetLoad()))
+		l.handleLoad(m, f.GetLoad())
 	}
 	if f.GetRevision() > 0 {
 		l.recordRevision(s, m, f.GetRevision())
@@ -168,11 +168,33 @@
 	l.AddMember(m, direct)
 	l.handlePeers(n.GetPeers(), false)
 	if len(n.GetFans()) > 0 {
-		l.handlers.ReceiveFanOuts(m, toFanOuts(n.GetFans()))
+		l.handleFanOuts(m, n.GetFans())
 	}
 	l.requestPeersIfDifferent(s, n)
 }
 
+// handleLoad passes on the load that a node reports, unless a number is out of range.
+func (l *Linker) handleLoad(m Member, message *framer.Load) {
+	load, err := toLoad(message)
+	if err != nil {
+		l.logger.Warnf("load from node %s discarded: %v", m.Name, err)
+		return
+	}
+	l.handlers.ReceiveLoad(m, load)
+}
+
+// handleFanOuts passes on the fan-outs that a node reports, unless a number is out of range.
+func (l *Linker) handleFanOuts(m Member, list []*framer.Fans) {
+	fanOuts := toFanOuts(list)
+	for route, fanOut := range fanOuts {
+		if err := fanOut.Validate(); err != nil {
+			l.logger.Warnf("fan-outs from node %s discarded, route %q: %v", m.Name, route, err)
+			return
+		}
+	}
+	l.handlers.ReceiveFanOuts(m, fanOuts)
+}
+
 // requestPeersIfDifferent requests the members that another node knows if their digest
 // differs from that of this node's members.
 func (l *Linker) requestPeersIfDifferent(s *session, n *framer.News) {
@@ -214,6 +236,12 @@
 		l.logger.Warnf("state from node %s discarded, expected JSON: %v", m.Name, err)
 		return
 	}
+	if state.Config != nil {
+		if err := state.Config.Validate(); err != nil {
+			l.logger.Warnf("state from node %s discarded: %v", m.Name, err)
+			return
+		}
+	}
 	l.handlers.ReceiveState(state)
 }
 
--- a/internal/rationer/buckets.go
+++ b/internal/rationer/buckets.go
@@ -85,7 +85,7 @@
 // returns how many it took.
 func (r *Buckets) GrantTokens(now time.Time, customer string, tokens float64) (granted float64) {
 	b := r.byCustomer[customer]
-	if b == nil {
+	if b == nil || tokens <= 0 {
 		return 0
 	}
 	b.refill(now)
--- a/internal/rationer/buckets_test.go
+++ b/internal/rationer/buckets_test.go
@@ -104,3 +104,18 @@
 func sharedBy(nodes int) func(string) int {
 	return func(string) int { return nodes }
 }
+
+// TestNegativeRequestTakesNothing guards against a customer that exceeds its rate because a
+// node that asks for a negative number of tokens adds them.
+func TestNegativeRequestTakesNothing(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	limit := Limit{RatePerSecond: 1, BurstRequests: 10}
+	r := &Buckets{}
+	r.SetLimits(now, map[string]Limit{"pond": limit}, func(string) int { return 1 })
+	if got := r.GrantTokens(now, "pond", -1000); got != 0 {
+		t.Errorf("got %v tokens granted, want 0", got)
+	}
+	if r.Admit(now.Add(time.Second), "pond", limit, 1, 5) {
+		t.Error("got 5 requests admitted after 1 s at 1 per second, want them refused")
+	}
+}
