Ignore a call whose number is that of a running one

A node ended with all requests that it held when another node numbered two calls alike.

Cause: the end of the first call took the cancel function of the second one away, which called it as nil.

Change: such a call is ignored with a log line; the running one goes on.

--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -622,3 +622,33 @@
 		t.Errorf("got %d, want 500", got)
 	}
 }
+
+// TestRepeatedCallNumberIsIgnored guards against a node that ends because another one numbers
+// two calls alike.
+func TestRepeatedCallNumberIsIgnored(t *testing.T) {
+	a, b := startPair(t)
+	running, release := make(chan struct{}, 2), make(chan struct{})
+	b.run = func(context.Context, *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
+		running <- struct{}{}
+		<-release
+		return &exchanger.Reply{Status: 200}, nil
+	}
+	k := a.link("b")
+	number, e := k.beginExchange(&exchange{})
+	frames := callFrames(number, newCall(20*time.Second), time.Now())
+	e.session.enqueue(frames...)
+	<-running
+	e.session.enqueue(frames...)
+	e.session.enqueue(&framer.Frame{Ping: true})
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	if r := <-e.done; r.refusal != nil {
+		t.Errorf("got refusal %v, want the reply", r.refusal)
+	}
+	if _, refusal := a.Send(t.Context(), "b", newCall(20*time.Second)); refusal != nil {
+		t.Errorf("got refusal %v of the next call, want its reply", refusal)
+	}
+	if got := len(running); got != 1 {
+		t.Errorf("got %d further runs, want 1", got)
+	}
+}
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -41,7 +41,9 @@
 
 		mu sync.Mutex
 		// member is the other node, once its first news have arrived.
-		member       Member
+		member Member
+		// cancelFuncs holds the cancel function of each running call by its number, and
+		// partialCalls the calls of which more frames follow.
 		cancelFuncs  map[uint64]context.CancelFunc
 		partialCalls map[uint64]*exchanger.Call
 	}
@@ -173,10 +175,24 @@
 	}
 	delete(r.partialCalls, number)
 	ctx, cancel := context.WithDeadline(r.ctx, c.Deadline.Add(replyMargin/2))
+	if !r.registerCall(number, cancel) {
+		cancel()
+		r.server.linker.logger.Warnf("call %s from node %s ignored, a call with number %d runs", c.ID, r.member.Name, number)
+		return
+	}
+	r.goroutines.Go(func() { r.runCall(ctx, number, c) })
+}
+
+// registerCall registers the cancel function of a call that is about to run, and reports
+// whether no call with its number runs.
+func (r *inboundSession) registerCall(number uint64, cancel context.CancelFunc) bool {
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, taken := r.cancelFuncs[number]; taken {
+		return false
+	}
 	r.cancelFuncs[number] = cancel
-	r.mu.Unlock()
-	r.goroutines.Go(func() { r.runCall(ctx, number, c) })
+	return true
 }
 
 // cancelCall ends a call whose caller does not await the answer any more.
