Show that no part of a message counts as whole

Other operators saw a 200 with an empty or short body, framed as whole, after a backend server had stopped in the middle of its answer's head and closed.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -408,3 +408,30 @@
 		t.Errorf("got error %v on an idle connection, want EOF soon after %s", err, idleTimeout)
 	}
 }
+
+// TestRequestCutOffDoesNotRun guards against requests that look whole although their caller
+// closed the connection in the middle of them.
+func TestRequestCutOffDoesNotRun(t *testing.T) {
+	for _, whole := range []string{
+		"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nboat",
+		"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nboat\r\n0\r\n\r\n",
+		"GET /x HTTP/1.1\r\nHost: a\r\n\r\n",
+	} {
+		var runs atomic.Int64
+		_, dial := newTestServer(t, func(context.Context, *Request) *Response {
+			runs.Add(1)
+			return &Response{Status: http.StatusOK}
+		})
+		for end := range len(whole) {
+			c := dial()
+			_, _ = io.WriteString(c, whole[:end])
+			_ = c.(*net.TCPConn).CloseWrite()
+			if answer, _ := io.ReadAll(c); strings.Contains(string(answer), " 200 ") {
+				t.Errorf("%q: got answer %q, want none of a run", whole[:end], answer)
+			}
+		}
+		if got := runs.Load(); got != 0 {
+			t.Errorf("%.20q: got %d runs, want none", whole, got)
+		}
+	}
+}
