--- a/internal/guardian/serverstate.go
+++ b/internal/guardian/serverstate.go
@@ -19,7 +19,8 @@
 
 const (
 	// minTrustedHeartbeats is the number of heartbeats in a row after which a
-	// server counts as ready without a successful health check.
+	// server counts as ready without a successful health check, and after which
+	// sequences below the last one are those of the server.
 	minTrustedHeartbeats = 3
 	// MaxWarmup is the longest warm-up that a heartbeat may tell.
 	MaxWarmup = time.Hour
@@ -60,6 +61,10 @@
 		// unconfirmedHeartbeats counts the heartbeats since the incarnation
 		// started or its state became unknown.
 		unconfirmedHeartbeats int
+		// lateHeartbeats counts the late heartbeats in a row whose sequences increase,
+		// and lateSequence is the last of those.
+		lateHeartbeats int
+		lateSequence   int64
 	}
 
 	// HeartbeatOutcome is the effect of a heartbeat.
@@ -119,7 +124,8 @@
 }
 
 // ApplyHeartbeat updates the state from a heartbeat, unless the heartbeat is late or
-// comes from a former incarnation.
+// comes from a former incarnation. A server that drains goes on draining, so a late heartbeat
+// tells that too.
 func (s *ServerState) ApplyHeartbeat(now time.Time, h Heartbeat) HeartbeatOutcome {
 	switch {
 	case h.StartUnixMillis < s.LastHeartbeat.StartUnixMillis:
@@ -127,17 +133,33 @@
 	case h.StartUnixMillis == s.LastHeartbeat.StartUnixMillis && h.ID != s.LastHeartbeat.ID && s.LastHeartbeat.ID != "":
 		return HeartbeatFormerIncarnation
 	case h.StartUnixMillis == s.LastHeartbeat.StartUnixMillis && h.Sequence <= s.LastHeartbeat.Sequence && s.LastHeartbeat.ID != "":
-		return HeartbeatLate
+		return s.applyLate(now, h)
 	case h.StartUnixMillis > s.LastHeartbeat.StartUnixMillis || s.LastHeartbeat.ID == "":
 		return s.startIncarnation(now, h)
 	}
 	return s.updateIncarnation(now, h)
 }
 
+// applyLate applies a heartbeat whose sequence is not above the last one. If several follow
+// each other, the last one was not of the server, and they are those of the server.
+func (s *ServerState) applyLate(now time.Time, h Heartbeat) HeartbeatOutcome {
+	if h.Sequence <= s.lateSequence {
+		s.lateHeartbeats = 0
+	}
+	s.lateHeartbeats++
+	s.lateSequence = h.Sequence
+	startsDraining := h.Draining && s.Phase != PhaseDraining && s.Phase != PhaseLeft
+	if startsDraining || s.lateHeartbeats >= minTrustedHeartbeats {
+		return s.updateIncarnation(now, h)
+	}
+	return HeartbeatLate
+}
+
 // startIncarnation applies the first heartbeat of an incarnation.
 func (s *ServerState) startIncarnation(now time.Time, h Heartbeat) HeartbeatOutcome {
 	replacesKnown := s.LastHeartbeat.ID != ""
 	s.LastHeartbeat = h
+	s.lateHeartbeats, s.lateSequence = 0, 0
 	s.unconfirmedHeartbeats = 1
 	s.Phase = PhaseUnknown
 	s.ColdUntil = time.Time{}
@@ -156,6 +178,7 @@
 // updateIncarnation applies a later heartbeat of the incarnation.
 func (s *ServerState) updateIncarnation(now time.Time, h Heartbeat) HeartbeatOutcome {
 	s.LastHeartbeat = h
+	s.lateHeartbeats, s.lateSequence = 0, 0
 	s.unconfirmedHeartbeats++
 	startsDraining := h.Draining && s.Phase != PhaseDraining && s.Phase != PhaseLeft
 	if startsDraining {
--- a/internal/guardian/serverstate_test.go
+++ b/internal/guardian/serverstate_test.go
@@ -50,6 +50,12 @@
 			s.ApplyHeartbeat(epoch, ready("a", 1, 7))
 			s.ConfirmHealthy(epoch, "a", 0)
 		}, PhaseDraining, "a"},
+		{"late heartbeat tells of draining", func(s *ServerState) {
+			s.ApplyHeartbeat(epoch, ready("a", 1, 1))
+			s.ConfirmHealthy(epoch, "a", 0)
+			s.ApplyHeartbeat(epoch, ready("a", 1, 1_000_000))
+			s.ApplyHeartbeat(epoch, draining("a", 1, 2))
+		}, PhaseDraining, "a"},
 		{"former incarnation is ignored", func(s *ServerState) {
 			s.ApplyHeartbeat(epoch, ready("b", 2, 1))
 			s.ConfirmHealthy(epoch, "b", 0)
@@ -87,6 +93,26 @@
 	}
 }
 
+// TestSequenceFarAheadIsOutvoted guards against a server that turns cold unnoticed, because a
+// heartbeat of another writer makes all of its own look late. A few delayed heartbeats do not
+// replace newer ones.
+func TestSequenceFarAheadIsOutvoted(t *testing.T) {
+	s := &ServerState{}
+	cold := func(sequence int64) Heartbeat {
+		return Heartbeat{ID: "a", StartUnixMillis: 1, Sequence: sequence, Slots: 8, WarmupRemaining: time.Minute}
+	}
+	s.ApplyHeartbeat(epoch, cold(1))
+	s.ApplyHeartbeat(epoch, Heartbeat{ID: "a", StartUnixMillis: 1, Sequence: 1_000_000, Slots: 8})
+	for _, sequence := range []int64{2, 3, 3, 4} {
+		if got := s.ApplyHeartbeat(epoch, cold(sequence)); got != HeartbeatLate {
+			t.Errorf("sequence %d: got %s, want %s", sequence, got, HeartbeatLate)
+		}
+	}
+	if got := s.ApplyHeartbeat(epoch, cold(5)); got != HeartbeatAccepted || !s.IsCold(epoch) || s.LastHeartbeat.Sequence != 5 {
+		t.Errorf("got %s, cold %t, sequence %d after three heartbeats in a row, want %s, cold, 5", got, s.IsCold(epoch), s.LastHeartbeat.Sequence, HeartbeatAccepted)
+	}
+}
+
 func TestWarmupPeriod(t *testing.T) {
 	s := &ServerState{}
 	s.ApplyHeartbeat(epoch, Heartbeat{ID: "a", StartUnixMillis: 1, Sequence: 1, Slots: 8, WarmupRemaining: 3 * time.Second})
