Read the members while the write of a join is not answered

Cause: the members were read only after the node's own write was answered. A node that knows no other one counts itself as the only holder of each limit.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -52,8 +52,8 @@
 		// number of states; revisions only grow.
 		Watch(ctx context.Context, w Watchers, onState func(director.State)) error
 		// Join registers the node and returns the members and the learned
-		// state.
-		Join(ctx context.Context, self linker.Member) (JoinResult, error)
+		// state. onMembers gets the members earlier if the registration takes long.
+		Join(ctx context.Context, self linker.Member, onMembers func([]linker.Member)) (JoinResult, error)
 		// Leave deregisters the node.
 		Leave(ctx context.Context, self linker.Member) error
 		// SaveLearnedState stores the learned state for nodes that join later.
@@ -314,11 +314,14 @@
 // joinDirectory registers the node in the directory, and takes over the members
 // and the learned state from it.
 func (n *Node) joinDirectory(ctx context.Context) error {
-	result, err := n.settings.Directory.Join(ctx, n.self)
+	addMembers := func(members []linker.Member) {
+		n.linker.AddDirectoryMembers(members)
+		n.rateLimiter.SetLimits(n.table.Load())
+	}
+	result, err := n.settings.Directory.Join(ctx, n.self, addMembers)
 	if err == nil {
-		n.linker.AddDirectoryMembers(result.Members)
+		addMembers(result.Members)
 		n.forwarder.Restore(result.LearnedState)
-		n.rateLimiter.SetLimits(n.table.Load())
 	}
 	<-ctx.Done()
 	return nil
