--- a/internal/linker/news.go
+++ b/internal/linker/news.go
@@ -149,7 +149,7 @@
 		l.handleState(m, f.GetState())
 	}
 	if len(f.GetSuspects()) > 0 {
-		l.SpreadSuspects(l.handlers.ReceiveSuspects(toSuspects(f.GetSuspects(), l.clock.Now())))
+		l.handleSuspects(m, f.GetSuspects())
 	}
 }
 
--- a/internal/linker/suspects.go
+++ b/internal/linker/suspects.go
@@ -1,12 +1,14 @@
 package linker
 
 import (
-	"math"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/flamingotack/flamingotack/internal/framer"
 	"github.com/flamingotack/flamingotack/internal/suspecter"
+	"github.com/flamingotack/flamingotack/internal/validator"
 )
 
 // suspectList collects suspects. It has a lock of its own, so that suspects can be added by
@@ -52,18 +54,30 @@
 	return list
 }
 
-// toSuspects leaves out messages without a whole digest or with a time that is no duration.
-func toSuspects(list []*framer.Suspect, now time.Time) (suspects []suspecter.Suspect) {
-	for _, m := range list {
-		left := m.GetLeftMicros()
-		if len(m.GetDigest()) != len(suspecter.Digest{}) || left > math.MaxInt64/int64(time.Microsecond) || left < 0 {
+// handleSuspects passes suspects that a node reports on to the other nodes if they are news. It
+// leaves out those that are invalid.
+func (l *Linker) handleSuspects(m Member, list []*framer.Suspect) {
+	now := l.clock.Now()
+	suspects := make([]suspecter.Suspect, 0, len(list))
+	for _, message := range list {
+		suspect, err := toSuspect(message, now)
+		if err != nil {
+			l.logger.Warnf("suspect from node %s discarded: %v", m.Name, err)
 			continue
 		}
-		suspects = append(suspects, suspecter.Suspect{
-			Digest:              suspecter.Digest(m.GetDigest()),
-			CrashedIncarnations: m.GetCrashed(),
-			ExpiresAt:           now.Add(time.Duration(left) * time.Microsecond),
-		})
+		suspects = append(suspects, suspect)
 	}
-	return suspects
+	l.SpreadSuspects(l.handlers.ReceiveSuspects(suspects))
+}
+
+// toSuspect returns an error if the digest is not whole or the time left is no duration.
+func toSuspect(m *framer.Suspect, now time.Time) (suspect suspecter.Suspect, err error) {
+	if got, want := len(m.GetDigest()), len(suspect.Digest); got != want {
+		return suspect, errors.Newf("digest has %d bytes, expected %d", got, want)
+	}
+	left, err := validator.Duration(float64(m.GetLeftMicros()), time.Microsecond)
+	if err != nil {
+		return suspect, err
+	}
+	return suspecter.Suspect{Digest: suspecter.Digest(m.GetDigest()), CrashedIncarnations: m.GetCrashed(), ExpiresAt: now.Add(left)}, nil
 }
