Keep invalid entries of a configuration from taking the others out of service

Callers saw: every request of a deployment with a route of kind "upload" was refused, as no node had a configuration.

Cause: one unknown routeType, or any other field of one customer, route or service that could not be read, made the whole configuration invalid.

Change: entries are decoded one by one. Any other invalid field leaves out its entry alone, with a warning that names entry and field and a gauge of the entries left out. Requests that may belong to an entry that is left out get 503 with Retry-After, not 404 or 401, and do not fall through to the route of a shorter prefix. A document that is invalid as a whole still changes nothing.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -24,7 +24,7 @@
 
 const (
 	// notReadyRetryAfter is the Retry-After value while the node has no
-	// configuration.
+	// configuration, or none that is valid for the request.
 	notReadyRetryAfter = 500 * time.Millisecond
 	// drainingRetryAfter is the Retry-After value while the node shuts down.
 	// It is short because another node can take the retry.
@@ -176,12 +176,15 @@
 func (a *Admitter) resolve(r *acceptor.Request) (*resolvedCall, *exchanger.Refusal) {
 	table := a.Table()
 	if !table.HasConfig() {
-		refusal := exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonNotReady, "the node has no configuration yet")
-		refusal.RetryAfter = notReadyRetryAfter
-		return nil, refusal
+		return nil, notReadyRefusal("the node has no configuration yet")
 	}
 	route := table.MatchRoute(r.Host, r.RequestURI)
-	if route == nil {
+	switch {
+	case route != nil && route.Unusable:
+		return nil, notReadyRefusal("the configuration of the route is invalid")
+	case route == nil && table.Omitted().Routes > 0:
+		return nil, notReadyRefusal("the request may belong to a route whose configuration is invalid")
+	case route == nil:
 		return nil, exchanger.NotRun(http.StatusNotFound, exchanger.ReasonRouteUnknown, "no route for %s%s", r.Host, r.RequestURI)
 	}
 	id := r.Header.Get(a.HeaderNames.AttemptID)
@@ -222,11 +225,20 @@
 		return nil, nil
 	case !found:
 		return nil, exchanger.NotRun(http.StatusUnauthorized, exchanger.ReasonKeyMissing, "route %s needs a key", route.Name)
+	case t.Omitted().Customers > 0:
+		return nil, notReadyRefusal("the key may belong to a customer whose configuration is invalid")
 	default:
 		return nil, exchanger.NotRun(http.StatusUnauthorized, exchanger.ReasonKeyUnknown, "the key belongs to no customer")
 	}
 }
 
+// notReadyRefusal returns the refusal of a request that a later configuration may allow.
+func notReadyRefusal(detail string) *exchanger.Refusal {
+	refusal := exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonNotReady, "%s", detail)
+	refusal.RetryAfter = notReadyRetryAfter
+	return refusal
+}
+
 // newCall converts a request to a call.
 func (a *Admitter) newCall(r *acceptor.Request, id string, route *director.Route, customer *director.Customer) *exchanger.Call {
 	callerTimeout := a.callerTimeout(r.Header, route)
--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -27,6 +27,7 @@
 		value             func() int64
 	}{
 		{"flamingotack.connections.open", "Connections of callers.", func() int64 { return int64(n.acceptor.OpenConnections()) }},
+		{"flamingotack.config.omitted", "Customers, routes and services that the configuration in force leaves out as invalid.", func() int64 { return int64(n.table.Load().Omitted().Total()) }},
 		{"flamingotack.links.up", "Links to other nodes that stand.", func() int64 { return int64(n.linker.ConnectedPeerCount()) }},
 		{"flamingotack.server.failing", "1 while many runs on the backend server end badly.", n.failingValue},
 		{"flamingotack.suspects", "Requests that ran when a backend server crashed and have not ended well since.", func() int64 { return int64(n.guardian.SuspectCount()) }},
--- a/internal/director/config.go
+++ b/internal/director/config.go
@@ -39,6 +39,17 @@
 		Routes []Route `json:"routes"`
 		// Services have unique names.
 		Services []Service `json:"services"`
+		// Omitted counts the published entries that are invalid and left out.
+		Omitted Omitted `json:"omitted"`
+	}
+
+	// Omitted counts the entries that are missing from a configuration because they are
+	// invalid. Requests that may belong to one of them are not refused for good.
+	Omitted struct {
+		// Customers, Routes and Services are the numbers of entries of each kind.
+		Customers int `json:"customers,omitempty"`
+		Routes    int `json:"routes,omitempty"`
+		Services  int `json:"services,omitempty"`
 	}
 
 	// Customer is one tenant of the services.
@@ -104,6 +115,9 @@
 		// MaxAttempts is the number of backend servers to which one request may be
 		// sent. At least 1.
 		MaxAttempts int `json:"attempts"`
+		// Unusable routes are invalid apart from Host and Prefix. They run no requests,
+		// and keep those that they match from the route of a shorter prefix.
+		Unusable bool `json:"unusable,omitempty"`
 	}
 
 	// Service is a group of backend servers that run the same requests.
@@ -132,36 +146,56 @@
 	}
 	services := make(map[string]bool, len(c.Services))
 	for i := range c.Services {
-		s := &c.Services[i]
-		services[s.Name] = true
-		if err := errors.CombineErrors(validator.Rate(s.WarmupRatePerSecond), validateDuration(s.Warmup)); err != nil {
-			return errors.Wrapf(err, "warm-up of service %q", s.Name)
+		services[c.Services[i].Name] = true
+		if err := c.Services[i].Validate(); err != nil {
+			return err
 		}
 	}
 	for i := range c.Routes {
-		if err := c.Routes[i].validate(services); err != nil {
+		if err := c.Routes[i].Validate(services); err != nil {
 			return err
 		}
 	}
 	keys := map[string]string{}
 	for i := range c.Customers {
 		customer := &c.Customers[i]
-		if customer.Name == "" {
-			return errors.Newf("customer %d has no name", i)
-		}
-		if err := errors.CombineErrors(validator.Rate(customer.RatePerSecond), validator.Quantity(customer.BurstRequests, validator.MaxRate)); err != nil {
-			return errors.Wrapf(err, "rate of customer %q", customer.Name)
+		if err := customer.Validate(keys); err != nil {
+			return errors.Wrapf(err, "customer %d", i)
 		}
 		for _, k := range customer.Keys {
-			if owner, taken := keys[k]; taken && owner != customer.Name {
-				return errors.Newf("customers %q and %q have the same key", owner, customer.Name)
-			}
 			keys[k] = customer.Name
 		}
 	}
 	return nil
 }
 
+// Total returns the number of entries that are left out.
+func (o Omitted) Total() int {
+	return o.Customers + o.Routes + o.Services
+}
+
+// Validate returns an error that names the first invalid value of a customer. keys maps the
+// keys of the other customers to their names.
+func (c *Customer) Validate(keys map[string]string) error {
+	if c.Name == "" {
+		return errors.New("customer has no name")
+	}
+	if err := errors.CombineErrors(validator.Rate(c.RatePerSecond), validator.Quantity(c.BurstRequests, validator.MaxRate)); err != nil {
+		return errors.Wrapf(err, "rate of customer %q", c.Name)
+	}
+	for _, k := range c.Keys {
+		if owner, taken := keys[k]; taken && owner != c.Name {
+			return errors.Newf("customers %q and %q have the same key", owner, c.Name)
+		}
+	}
+	return nil
+}
+
+// Validate returns an error if the warm-up of a service is out of range.
+func (s *Service) Validate() error {
+	return errors.Wrapf(errors.CombineErrors(validator.Rate(s.WarmupRatePerSecond), validateDuration(s.Warmup)), "warm-up of service %q", s.Name)
+}
+
 // ClampPriority returns a configured priority, clamped to the range of priorities.
 func ClampPriority(configured int) exchanger.Priority {
 	return exchanger.Priority(max(0, min(configured, int(exchanger.PriorityCount)-1)))
@@ -182,12 +216,16 @@
 	return validator.Quantity(d.Seconds(), validator.MaxDuration.Seconds())
 }
 
-func (r *Route) validate(services map[string]bool) error {
+// Validate returns an error that names the first invalid value of a route. services holds the
+// names of the services.
+func (r *Route) Validate(services map[string]bool) error {
 	switch {
 	case r.Host == "":
 		return errors.Newf("route %q has no host", r.Name)
 	case len(r.Prefix) == 0 || r.Prefix[0] != '/' || r.Prefix[len(r.Prefix)-1] != '/':
 		return errors.Newf("route %q: prefix %q does not begin and end with a slash", r.Name, r.Prefix)
+	case r.Unusable:
+		return nil
 	case r.Kind != RouteKindIdempotent && r.Kind != RouteKindOnce:
 		return errors.Newf("route %q: kind %q is neither %q nor %q", r.Name, r.Kind, RouteKindIdempotent, RouteKindOnce)
 	case r.Timeout <= 0:
--- a/internal/director/table.go
+++ b/internal/director/table.go
@@ -50,7 +50,9 @@
 			t.routesByHost[r.Host] = &prefixIndex{routes: map[string]*Route{}}
 		}
 		t.routesByHost[r.Host].add(r)
-		t.routesByName[r.Name] = r
+		if !r.Unusable {
+			t.routesByName[r.Name] = r
+		}
 	}
 	for i := range s.Config.Customers {
 		c := &s.Config.Customers[i]
@@ -85,7 +87,15 @@
 
 // RequiresKeys reports whether routes that do not allow anonymous callers need a key.
 func (t *Table) RequiresKeys() bool {
-	return len(t.customersByName) > 0
+	return len(t.customersByName) > 0 || t.Omitted().Customers > 0
+}
+
+// Omitted counts the invalid entries that the configuration leaves out.
+func (t *Table) Omitted() Omitted {
+	if t.State.Config == nil {
+		return Omitted{}
+	}
+	return t.State.Config.Omitted
 }
 
 // RouteByName returns the route of that name, or nil if it is unknown.
