Order states by era, revision and prior revision, and merge states of two eras

Cause: the store may come back from an older copy, and then revisions go back. Nodes compared revisions alone, so a node of the earlier era overrode those that had read the restored store, and a state that lacks what the copy lost took it out of force.

Change: director.State has the era, the prior revision and the parts written in the era. Merge keeps what the sender of a newer state did not know. Frames, requests for a newer state and the cached encoding use the whole position. Without an era all of it is zero and states replace each other by revision as before.

--- a/internal/director/table.go
+++ b/internal/director/table.go
@@ -9,9 +9,23 @@
 	// State is the state that all nodes agree on: the newest configuration and the
 	// failure domains that are out of service.
 	State struct {
-		// Revision increases with each change. A state with a higher revision
-		// replaces this one.
+		// Era is that of the directory from which the state was read. It rises when
+		// the directory is restored from an older copy, and revisions then go back.
+		Era uint64 `json:"era,omitempty"`
+		// Revision increases with each change in an era. Position says which of two
+		// states replaces the other.
 		Revision uint64 `json:"revision"`
+		// PriorRevision is the revision of the previous era whose content the state
+		// keeps; 0 in the first era and if the content is that of the copy.
+		PriorRevision uint64 `json:"prior,omitempty"`
+		// Written maps the parts of the state that were written in this era to their
+		// revisions. It is complete for revisions from WrittenFrom on, and nil in
+		// the first era.
+		Written     map[string]uint64 `json:"written,omitempty"`
+		WrittenFrom uint64            `json:"writtenfrom,omitempty"`
+		// Exact reports whether WrittenFrom is the end of the copy, so that Written
+		// has all parts that were written in this era.
+		Exact bool `json:"exact,omitempty"`
 		// Config is the newest configuration; nil before the first.
 		Config *Config `json:"config,omitempty"`
 		// EvacuatedDomains are the failure domains that get no requests.
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc/drpcconn"
 
 	"github.com/flamingotack/flamingotack/internal/dialer"
+	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/framer"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
@@ -332,7 +333,7 @@
 	if f.GetLoad() != nil {
 		k.closed.Store(f.GetLoad().GetClosed())
 	}
-	if f.GetRevision() > 0 {
+	if toPosition(f) != (director.Position{}) {
 		k.recordDirectoryReachable(f.GetFollows())
 	}
 	k.linker.handleCommonFields(s, k.member, f)
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -103,9 +103,7 @@
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			n.receivedStates++
-			if s.Revision > n.state.Revision {
-				n.state = s
-			}
+			n.state, _ = director.Merge(n.state, s)
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/linker/news.go
+++ b/internal/linker/news.go
@@ -36,14 +36,14 @@
 // newerState identifies a node that acts on a newer state than this one.
 type newerState struct {
 	session  *session
-	revision uint64
+	position director.Position
 	// sameDomain reports whether the node is in this node's failure domain.
 	sameDomain bool
 }
 
 // encodedState is a state in the encoding in which it is sent to other nodes.
 type encodedState struct {
-	revision uint64
+	position director.Position
 	data     []byte
 }
 
@@ -51,10 +51,10 @@
 // states on request only, because most changes reach every node earlier by its own source of
 // configurations.
 func (l *Linker) requestNewerState() {
-	own := l.handlers.State().Revision
+	own := l.handlers.State().Position()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.newerState.revision > own {
+	if l.newerState.position.NewerThan(own) {
 		l.newerState.session.enqueue(&framer.Frame{WantState: true})
 	}
 	l.newerState = newerState{}
@@ -83,19 +83,30 @@
 	return max(checkInterval, highLoadIntervalPerLink*links)
 }
 
-// loadFrame returns a frame with the load and the revision of the state.
+// loadFrame returns a frame with the load and the position of the state.
 func (l *Linker) loadFrame() *framer.Frame {
-	return &framer.Frame{
-		Load:     fromLoad(l.handlers.Load()),
-		Revision: l.handlers.State().Revision,
-		Follows:  l.handlers.DirectoryReachable(),
-	}
+	f := &framer.Frame{Load: fromLoad(l.handlers.Load())}
+	l.setPosition(f)
+	return f
+}
+
+// setPosition sets the position of the state in a frame, and whether the directory answers.
+func (l *Linker) setPosition(f *framer.Frame) {
+	p := l.handlers.State().Position()
+	f.Era, f.Revision, f.PriorRevision = p.Era, p.Revision, p.PriorRevision
+	f.Follows = l.handlers.DirectoryReachable()
+}
+
+// toPosition returns the position of the state on which the sender of a frame acts; zero if
+// the frame names none.
+func toPosition(f *framer.Frame) director.Position {
+	return director.Position{Era: f.GetEra(), Revision: f.GetRevision(), PriorRevision: f.GetPriorRevision()}
 }
 
 // newsFrame returns the news that the node sends over its own links. The caller holds the
 // lock.
 func (l *Linker) newsFrame() *framer.Frame {
-	return &framer.Frame{
+	f := &framer.Frame{
 		News: &framer.News{
 			Name:        l.self.Name,
 			Incarnation: l.self.Incarnation,
@@ -104,9 +115,9 @@
 			Domain:      l.self.Domain,
 			Members:     l.membersDigest(),
 		},
-		Revision: l.handlers.State().Revision,
-		Follows:  l.handlers.DirectoryReachable(),
 	}
+	l.setPosition(f)
+	return f
 }
 
 // fullNewsFrame returns the news that the node sends over inbound links, with its load and
@@ -136,8 +147,8 @@
 	if f.GetLoad() != nil && m.Name != "" {
 		l.handleLoad(m, f.GetLoad())
 	}
-	if f.GetRevision() > 0 {
-		l.recordRevision(s, m, f.GetRevision())
+	if p := toPosition(f); p != (director.Position{}) {
+		l.recordRevision(s, m, p)
 	}
 	if f.GetWantState() {
 		l.sendState(s, l.handlers.State())
@@ -217,15 +228,15 @@
 
 // recordRevision records that a node acts on a newer state. The newest state wins; among
 // equals, a node in this node's failure domain does.
-func (l *Linker) recordRevision(s *session, m Member, revision uint64) {
-	if revision <= l.handlers.State().Revision {
+func (l *Linker) recordRevision(s *session, m Member, p director.Position) {
+	if !p.NewerThan(l.handlers.State().Position()) {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	sameDomain := m.Domain == l.self.Domain
-	if revision > l.newerState.revision || revision == l.newerState.revision && sameDomain && !l.newerState.sameDomain {
-		l.newerState = newerState{session: s, revision: revision, sameDomain: sameDomain}
+	if p.NewerThan(l.newerState.position) || p == l.newerState.position && sameDomain && !l.newerState.sameDomain {
+		l.newerState = newerState{session: s, position: p, sameDomain: sameDomain}
 	}
 }
 
@@ -248,13 +259,13 @@
 // sendState sends a state to a node that has requested it.
 func (l *Linker) sendState(s *session, state director.State) {
 	cached := l.encodedState.Load()
-	if cached == nil || cached.revision != state.Revision {
+	if cached == nil || cached.position != state.Position() {
 		data, err := json.Marshal(state)
 		if err != nil {
-			l.logger.Errorf("encoding of the state with revision %d failed: %v", state.Revision, err)
+			l.logger.Errorf("encoding of the state with revision %d of era %d failed: %v", state.Revision, state.Era, err)
 			return
 		}
-		cached = &encodedState{revision: state.Revision, data: data}
+		cached = &encodedState{position: state.Position(), data: data}
 		l.encodedState.Store(cached)
 	}
 	s.enqueue(&framer.Frame{State: cached.data})
