Keep what nodes know when the store comes back from an older copy

After a restore nodes received nothing until the offsets had caught up, and their member records stayed lost.

Change: the era is taken from every answer. When it rises, the reader compares the restored log with what it knows, keeps what the copy lacks and applies what was written since. Nodes write their member records and the learned state again, with jitter and backoff, and read the members once more 3 s later.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -49,11 +49,20 @@
 		// Reachable reports whether the last read of the state was answered.
 		Reachable() bool
 		// Watch passes new states to onState until ctx ends. It may skip any
-		// number of states; revisions only grow.
+		// number of states; their positions only grow.
 		Watch(ctx context.Context, w Watchers, onState func(director.State)) error
 		// Join registers the node and returns the members and the learned
 		// state. onMembers gets the members earlier if the registration takes long.
 		Join(ctx context.Context, self linker.Member, onMembers func([]linker.Member)) (JoinResult, error)
+		// Era returns the era of the directory, which rises when the directory is
+		// restored from an older copy. WatchEra passes each higher era to onEra until
+		// ctx ends.
+		Era() uint64
+		WatchEra(ctx context.Context, onEra func(era uint64)) error
+		// WriteMember writes the node's registration again. Members returns the
+		// members.
+		WriteMember(ctx context.Context, self linker.Member) error
+		Members(ctx context.Context) ([]linker.Member, error)
 		// Leave deregisters the node.
 		Leave(ctx context.Context, self linker.Member) error
 		// SaveLearnedState stores the learned state for nodes that join later.
@@ -77,6 +86,8 @@
 		IncludesSelf() bool
 		// UpdatesRelayed reports whether this node gets updates from others.
 		UpdatesRelayed() bool
+		// Revision returns the revision of the state that this node acts on.
+		Revision() uint64
 	}
 
 	// Node is a node of the overload control layer. Create it with New.
@@ -95,7 +106,10 @@
 		table          publisher.Value[director.Table]
 		mu             sync.Mutex
 		backendChanged chan struct{}
+		rewriter       *rewriter
 		stopping       atomic.Bool
+		// left is set once the node deregisters.
+		left atomic.Bool
 		// refuseNewChains is set once callers have had time to see that the
 		// node is not ready.
 		refuseNewChains atomic.Bool
@@ -106,6 +120,7 @@
 	// watchers implements Watchers. The watchers are the delegates.
 	watchers struct {
 		linker *linker.Linker
+		table  func() *director.Table
 	}
 
 	// Settings are the settings of a node.
@@ -146,6 +161,9 @@
 	defer func() { err = errors.Wrapf(err, "set up node %q", s.Name) }()
 	n = &Node{settings: s, backendChanged: make(chan struct{}, 1)}
 	n.table.Publish(director.NewTable(director.State{}))
+	n.rewriter = newRewriter(s.Logger.Named("rewriter"), s.Directory.Era, func() int { return len(n.linker.Peers()) + 1 }, n.rereadMembers)
+	n.rewriter.add("member record", n.rewriteMember)
+	n.rewriter.add("learned state", n.rewriteLearnedState)
 	callers, err := listen(s.CallerAddress)
 	if err != nil {
 		return nil, err
@@ -212,10 +230,14 @@
 	}
 	addActor(n.guardian.Run)
 	addActor(n.linker.Run)
-	addActor(func(c context.Context) error { return n.settings.Directory.Watch(c, watchers{n.linker}, n.applyState) })
+	addActor(func(c context.Context) error {
+		return n.settings.Directory.Watch(c, watchers{n.linker, n.table.Load}, n.applyState)
+	})
 	addActor(n.joinDirectory)
 	addActor(n.broadcastChanges)
 	addActor(n.saveLearnedState)
+	addActor(func(c context.Context) error { return n.settings.Directory.WatchEra(c, n.rewriter.noteEra) })
+	addActor(n.rewriter.run)
 	addActor(func(actorCtx context.Context) error {
 		defer n.acceptor.Close()
 		defer context.AfterFunc(actorCtx, func() { n.callerListener.Close() })()
@@ -346,23 +368,25 @@
 	}
 }
 
-// applyState puts a state in force unless a newer one already is. The version of
-// the configuration never decreases.
+// applyState puts a state in force unless a newer one already is. What the state lacks
+// because its directory lost it stays in force.
 func (n *Node) applyState(s director.State) {
+	n.rewriter.noteEra(s.Era)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	current := n.table.Load()
-	if s.Revision <= current.State.Revision {
+	merged, changed := director.Merge(current.State, s)
+	if !changed {
 		return
 	}
-	if current.HasConfig() && (s.Config == nil || s.Config.Version < current.State.Config.Version) {
-		s.Config = current.State.Config
+	n.table.Publish(director.NewTable(merged))
+	n.settings.Logger.Infof("revision %d put in force: configuration version %d, failure domains out of service %v", merged.Revision, merged.Version(), merged.EvacuatedDomains)
+	if merged.Era > current.State.Era {
+		n.settings.Logger.Warnf("directory was restored, revision %d of era %d is followed by revision %d of era %d, which keeps revision %d", current.State.Revision, current.State.Era, merged.Revision, merged.Era, merged.PriorRevision)
 	}
-	n.table.Publish(director.NewTable(s))
-	n.settings.Logger.Infof("revision %d put in force: configuration version %d, failure domains out of service %v", s.Revision, s.Version(), s.EvacuatedDomains)
 	n.guardian.ReloadConfig()
 	n.rateLimiter.SetLimits(n.table.Load())
-	if n.linker.Delegates().IsDelegate() {
+	if n.linker.Delegates().IsDelegate() || merged.Position() != s.Position() {
 		n.notifyBackendChanged()
 	}
 }
@@ -389,6 +413,11 @@
 	return w.linker.CanRelyOnDelegates()
 }
 
+// Revision returns the revision of the state in force.
+func (w watchers) Revision() uint64 {
+	return w.table().State.Revision
+}
+
 // listen opens a TCP listener without TCP keepalive, which would set options on
 // each accepted connection. Idle timeouts detect callers that are gone.
 func listen(address string) (net.Listener, error) {
--- a/internal/composer/learned_state.go
+++ b/internal/composer/learned_state.go
@@ -49,3 +49,15 @@
 	n.settings.Logger.Infof("learned state saved: fan-out of %d routes, offered load of %d services", len(state.FanOuts), len(state.OfferedSlots))
 	return true
 }
+
+// rewriteLearnedState writes the learned state again after the directory was restored. Only
+// the first delegate of each failure domain writes it.
+func (n *Node) rewriteLearnedState(ctx context.Context) error {
+	state := n.forwarder.LearnedState()
+	if !n.linker.Delegates().IsFirstInDomain() || len(state.FanOuts) == 0 {
+		return errNothingToRewrite
+	}
+	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
+	defer cancel()
+	return n.settings.Directory.SaveLearnedState(ctx, state)
+}
--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -10,6 +10,8 @@
 		value             func() int64
 	}{
 		{"flamingotack.revision", "Revision of the configuration in force.", func() int64 { return int64(n.table.Load().State.Revision) }},
+		{"flamingotack.restores", "Restores of the directory from an older copy that were seen.", n.rewriter.restores.Load},
+		{"flamingotack.rewrites", "Records that were written again after a restore of the directory.", n.rewriter.rewrites.Load},
 		{"flamingotack.peers.changes", "Changes of the other nodes and of the links to them.", func() int64 { return int64(n.linker.PeersVersion()) }},
 		{"flamingotack.links.lost", "Links to other nodes that broke or went silent.", n.linker.LostLinks.Load},
 		{"flamingotack.connections.dropped", "Connections of callers that were closed to make room.", n.acceptor.DroppedConnections.Load},
@@ -28,6 +30,7 @@
 	}{
 		{"flamingotack.connections.open", "Connections of callers.", func() int64 { return int64(n.acceptor.OpenConnections()) }},
 		{"flamingotack.config.omitted", "Customers, routes and services that the configuration in force leaves out as invalid.", func() int64 { return int64(n.table.Load().Omitted().Total()) }},
+		{"flamingotack.era", "Era of the directory from which the configuration in force was read.", func() int64 { return int64(n.table.Load().State.Era) }},
 		{"flamingotack.links.up", "Links to other nodes that stand.", func() int64 { return int64(n.linker.ConnectedPeerCount()) }},
 		{"flamingotack.server.failing", "1 while many runs on the backend server end badly.", n.failingValue},
 		{"flamingotack.suspects", "Requests that ran when a backend server crashed and have not ended well since.", func() int64 { return int64(n.guardian.SuspectCount()) }},
--- a/internal/composer/stop.go
+++ b/internal/composer/stop.go
@@ -68,6 +68,7 @@
 // leaveDirectory notifies the other nodes and the directory that the node leaves,
 // because its backend server has left.
 func (n *Node) leaveDirectory(ctx context.Context) {
+	n.left.Store(true)
 	n.linker.Leave()
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
