Take only whole responses with a status from 200 to 599 as answers

Cause: the invoker took what http.ReadResponse did not refuse, and skipped every status below 200 as interim. The linker let statuses up to 999 pass, the relayer checked none.

Change: exchanger.IsAnswerStatus alone says what the status of an answer is; invoker, linker (replies and refusals) and relayer ask it. A metric counts these, and a warning names the server and what was wrong.

--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -17,6 +17,7 @@
 		{"flamingotack.unbegun", "Requests that were not begun, as their callers had left.", n.acceptor.AbandonedRequests.Load},
 		{"flamingotack.repeats", "Calls that were sent to another node after the first one.", n.forwarder.Retries.Load},
 		{"flamingotack.runs", "Calls that were sent to the backend server.", n.guardian.CallsSent.Load},
+		{"flamingotack.answers.invalid", "Answers of the backend server that were none.", n.guardian.Backend.InvalidResponses.Load},
 	} {
 		if err := n.settings.Meter.RegisterCounter(c.name, c.description, c.value); err != nil {
 			return err
--- a/internal/exchanger/header.go
+++ b/internal/exchanger/header.go
@@ -14,6 +14,9 @@
 	// RetryNo says that retrying does not help.
 	RetryNo = "no"
 
+	// maxStatus is the highest HTTP status code.
+	maxStatus = 599
+
 	// nodeHeaderPrefix is the prefix of the fields that nodes set themselves.
 	nodeHeaderPrefix = "Flamingotack-"
 )
@@ -32,6 +35,12 @@
 	"Upgrade",
 }
 
+// IsAnswerStatus reports whether status is that of an answer: 200 to 599. A lower one is
+// interim or none, a higher one is none (RFC 9110, section 15).
+func IsAnswerStatus(status int) bool {
+	return status >= http.StatusOK && status <= maxStatus
+}
+
 // EndToEndHeader returns a copy of h without the hop-by-hop fields and without the fields
 // that nodes set themselves.
 func EndToEndHeader(h http.Header) http.Header {
--- a/internal/guardian/availability.go
+++ b/internal/guardian/availability.go
@@ -156,6 +156,10 @@
 	case ctx.Err() != nil:
 		return exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonCanceled, "the request was canceled while it ran")
 	}
+	var invalid *invoker.InvalidResponseError
+	if errors.As(err, &invalid) {
+		g.Logger.Warnf("backend server %s sent bytes that are no answer: %s", g.instanceID(), invalid.Detail)
+	}
 	return exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "%v", err)
 }
 
--- a/internal/invoker/conn.go
+++ b/internal/invoker/conn.go
@@ -2,9 +2,7 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -160,71 +158,6 @@
 	return nil, errAttemptMismatch
 }
 
-// readResponse reads one response and skips provisional (1xx) ones.
-func (c *conn) readResponse(method string) (response *Response, err error) {
-	c.headReader.remainingBytes = maxHeadBytes
-	for {
-		httpResponse, err := http.ReadResponse(c.reader, &http.Request{Method: method}) //nolint:bodyclose // Close would read to the end of the body, which may never come.
-		if err != nil {
-			return nil, err
-		}
-		if httpResponse.StatusCode < http.StatusOK {
-			continue
-		}
-		return c.readBody(httpResponse)
-	}
-}
-
-// readBody reads the body of a response and sets how long the connection may be reused.
-func (c *conn) readBody(httpResponse *http.Response) (response *Response, err error) {
-	c.headReader.remainingBytes = math.MaxInt64
-	response = &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header}
-	if httpResponse.ContentLength > maxBodyBytes {
-		return nil, errBodyTooLarge
-	}
-	if response.Body, err = c.readAll(httpResponse); err != nil {
-		return nil, err
-	}
-	c.noReuse = c.noReuse || httpResponse.Close
-	c.idleTimeout = defaultIdleTimeout
-	if seconds := keepAliveSeconds(httpResponse.Header); seconds > 0 {
-		c.idleTimeout = time.Duration(idleTimeoutFraction * float64(seconds) * float64(time.Second))
-	}
-	return response, nil
-}
-
-// readAll reads a body. It allocates memory for a large body only as the data arrives,
-// whatever Content-Length says.
-func (c *conn) readAll(httpResponse *http.Response) (body []byte, err error) {
-	length := httpResponse.ContentLength
-	switch {
-	case httpResponse.Body == http.NoBody:
-		return nil, nil
-	case length >= 0 && length <= bodyChunkBytes:
-		body = make([]byte, length)
-		_, err = io.ReadFull(httpResponse.Body, body)
-		return body, err
-	}
-	readBytes := int64(0)
-	defer func() { c.totalBodyBytes.Add(-readBytes) }()
-	var buffer bytes.Buffer
-	for {
-		n, err := io.CopyN(&buffer, httpResponse.Body, bodyChunkBytes)
-		readBytes += n
-		total := c.totalBodyBytes.Add(n)
-		switch {
-		case errors.Is(err, io.EOF):
-			return buffer.Bytes(), nil
-		case err != nil:
-			return nil, err
-		case readBytes > maxBodyBytes:
-			return nil, errBodyTooLarge
-		case total > maxTotalBodyBytes:
-			return nil, errTotalTooLarge
-		}
-	}
-}
-
 // keepAliveSeconds returns how long the server keeps an idle connection, in seconds,
 // from the Keep-Alive header. It returns 0 if there is no timeout parameter.
 func keepAliveSeconds(h http.Header) (seconds int) {
--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/flamingotack/flamingotack/internal/dialer"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 )
@@ -57,6 +59,8 @@
 		Address string
 		// HeaderNames are the names of the header fields.
 		HeaderNames exchanger.HeaderNames
+		// InvalidResponses counts the responses that were none.
+		InvalidResponses atomic.Int64
 
 		// totalBodyBytes counts the body bytes of all responses that are being
 		// read.
@@ -127,6 +131,10 @@
 	}
 	if err != nil {
 		c.socket.Close()
+		var invalid *InvalidResponseError
+		if errors.As(err, &invalid) {
+			v.InvalidResponses.Add(1)
+		}
 		return nil, &BrokenConnectionError{Cause: err}
 	}
 	v.release(c)
--- a/internal/invoker/invoker_test.go
+++ b/internal/invoker/invoker_test.go
@@ -300,6 +300,7 @@
 		{"body with a length", head + "Content-Length: 9000000000\r\n\r\n", "x"},
 		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1024) + "\r\n"},
 		{"chunk extension", head + "Transfer-Encoding: chunked\r\n\r\n1;", "x"},
+		{"trailer", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
 		{"responses to other requests", "", "HTTP/1.1 200 OK\r\nAttempt: 0\r\nContent-Length: 0\r\n\r\n"},
 	}
 	for _, tt := range tests {
--- a/internal/linker/convert.go
+++ b/internal/linker/convert.go
@@ -13,13 +13,6 @@
 	"github.com/flamingotack/flamingotack/internal/validator"
 )
 
-// maxRefusalStatus and maxReplyStatus are the highest HTTP status codes of a refusal and of
-// a backend server's answer.
-const (
-	maxRefusalStatus = 599
-	maxReplyStatus   = 999
-)
-
 // callFrames returns the frames of a call that is sent at the time now.
 func callFrames(number uint64, c *exchanger.Call, now time.Time) []*framer.Frame {
 	first, rest := splitFrameBody(c.Body)
@@ -214,14 +207,14 @@
 // reply whose status is not that of a whole answer, become a refusal of a call that may have
 // run.
 func toRefusal(f *framer.Frame) *exchanger.Refusal {
-	if r := f.GetReply(); r != nil && !isReplyStatus(r.GetStatus()) {
+	if r := f.GetReply(); r != nil && !exchanger.IsAnswerStatus(int(r.GetStatus())) {
 		return exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the reply has status %d", r.GetStatus())
 	}
 	m := f.GetRefusal()
 	if m == nil {
 		return nil
 	}
-	if m.GetStatus() < http.StatusBadRequest || m.GetStatus() > maxRefusalStatus {
+	if m.GetStatus() < http.StatusBadRequest || !exchanger.IsAnswerStatus(int(m.GetStatus())) {
 		return exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the refusal has status %d", m.GetStatus())
 	}
 	ran := exchanger.RanNo
@@ -240,13 +233,8 @@
 // toReply returns nil for a frame without a valid reply.
 func toReply(f *framer.Frame) *exchanger.Reply {
 	m := f.GetReply()
-	if m == nil || !isReplyStatus(m.GetStatus()) {
+	if m == nil || !exchanger.IsAnswerStatus(int(m.GetStatus())) {
 		return nil
 	}
 	return &exchanger.Reply{Status: int(m.GetStatus()), Header: toHeader(m.GetHeader()), Body: m.GetBody(), ServerNode: m.GetServer()}
 }
-
-// isReplyStatus reports whether an HTTP status code is that of a whole answer.
-func isReplyStatus(status int32) bool {
-	return status >= http.StatusOK && status <= maxReplyStatus
-}
--- a/internal/relayer/httpbackend.go
+++ b/internal/relayer/httpbackend.go
@@ -117,13 +117,18 @@
 
 // Send sends a request to the backend server, as Backend describes.
 func (h *HTTPBackend) Send(ctx context.Context, r *exchanger.Request, token string) (*exchanger.Answer, error) {
-	var connected atomic.Bool
+	var socket atomic.Pointer[net.Conn]
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(i httptrace.GotConnInfo) { socket.Store(&i.Conn) },
 	})
 	response, err := h.transport.RoundTrip(h.newRequest(traced, r, token)) //nolint:bodyclose // The answer's receiver closes it.
 	if err != nil {
-		return nil, refusalOf(ctx, err, connected.Load())
+		return nil, refusalOf(ctx, err, socket.Load() != nil)
+	}
+	if response.ProtoMajor != 1 || !exchanger.IsAnswerStatus(response.StatusCode) {
+		(*socket.Load()).Close()
+		response.Body.Close()
+		return nil, exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the backend server sent bytes that are no answer: %s with status %d", response.Proto, response.StatusCode)
 	}
 	return &exchanger.Answer{
 		Status:        response.StatusCode,
--- /dev/null
+++ b/internal/relayer/oddanswers_test.go
@@ -0,0 +1,50 @@
+package relayer
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/flamingotack/flamingotack/internal/exchanger"
+)
+
+// TestBytesThatAreNoAnswer guards against callers that get bytes of the backend server which
+// are no answer, and against connections that stay in use after them.
+func TestBytesThatAreNoAnswer(t *testing.T) {
+	for _, status := range []string{"HTTP/1.1 000", "HTTP/1.1 099", "HTTP/1.1 101", "HTTP/1.1 600", "HTTP/1.1 999", "HTTP/1.1 2x0", "HTTP/3.7 200"} {
+		closed := make(chan struct{})
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer close(closed)
+			defer c.Close()
+			_, _ = io.WriteString(c, status+" Odd\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.Copy(io.Discard, c)
+		}))
+		h, err := NewHTTPBackend(server.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer, err := h.Send(t.Context(), &exchanger.Request{Method: http.MethodPost, Path: "/", Deadline: time.Now().Add(time.Minute)}, "token")
+		var refusal *exchanger.Refusal
+		if !errors.As(err, &refusal) || refusal.Ran != exchanger.RanUnknown || refusal.Status != http.StatusBadGateway {
+			t.Errorf("%s: got %v, %v, want a refusal of a request that may have run, with 502", status, answer, err)
+			h.Close()
+			server.CloseClientConnections()
+		}
+		select {
+		case <-closed:
+		case <-time.After(10 * time.Second):
+			t.Errorf("%s: connection was kept, want it closed", status)
+			server.CloseClientConnections()
+		}
+		h.Close()
+		server.Close()
+	}
+}
