Send bytes between nodes that are not UTF-8

Cause: the text of a protobuf message has to be UTF-8, and HTTP allows other bytes in a field. A header field, an attempt id, a target or the detail of a refusal with such bytes made the batch fail to encode, which ended the session with all calls on it.

Change: text that is not UTF-8 is sent as a field whose name has a colon, which no name in HTTP has, with each byte as the character of that number; the other node restores it. The detail of a refusal, which only people read, gets replacement characters. A message that can't be encoded all the same is left out of its batch and fails alone: a call as not run, an answer as one that may have run. The messages keep their format.

--- a/internal/linker/convert.go
+++ b/internal/linker/convert.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
@@ -40,6 +42,7 @@
 			ChainKnown:    c.ChainKnown,
 		},
 	}
+	moveOddText(head.Run)
 	return append([]*framer.Frame{head}, dataFrames(number, rest)...)
 }
 
@@ -80,14 +83,6 @@
 	return m
 }
 
-func fromHeader(h http.Header) []*framer.Field {
-	fields := make([]*framer.Field, 0, len(h))
-	for name, values := range h {
-		fields = append(fields, &framer.Field{Name: name, Values: values})
-	}
-	return fields
-}
-
 func fromLoad(l guardian.LoadReport) *framer.Load {
 	return &framer.Load{
 		Sequence:      l.Sequence,
@@ -113,13 +108,13 @@
 		Status:      int32(r.Status),
 		Ran:         r.Ran != exchanger.RanNo,
 		Reason:      string(r.Reason),
-		Detail:      r.Detail,
+		Detail:      strings.ToValidUTF8(r.Detail, string(utf8.RuneError)),
 		RetryMicros: r.RetryAfter.Microseconds(),
 	}
 }
 
 func toCall(m *framer.Run, now time.Time) *exchanger.Call {
-	return &exchanger.Call{
+	c := &exchanger.Call{
 		ID:                m.GetId(),
 		Service:           m.GetService(),
 		Route:             m.GetRoute(),
@@ -139,6 +134,8 @@
 		Idempotent:        m.GetRepeatable(),
 		RefusedByFullNode: m.GetMoved(),
 	}
+	restoreOddText(c, m.GetHeader())
+	return c
 }
 
 func toFanOuts(list []*framer.Fans) map[string]FanOut {
@@ -157,14 +154,6 @@
 	return fanOuts
 }
 
-func toHeader(fields []*framer.Field) http.Header {
-	h := make(http.Header, len(fields))
-	for _, f := range fields {
-		h[f.GetName()] = f.GetValues()
-	}
-	return h
-}
-
 // toLoad returns an error if a number is out of range.
 func toLoad(m *framer.Load) (report guardian.LoadReport, err error) {
 	for _, value := range []float64{
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -162,6 +162,7 @@
 		return false
 	}
 	s := newSession(k.linker.clock, stream, func() { netConn.Close() })
+	s.handleUnsent = k.refuseUnsent
 	s.enqueue(k.linker.currentNewsFrame())
 	k.activate(s)
 	k.linker.logger.Infof("link to node %s established", k.member.Name)
@@ -341,6 +342,16 @@
 	}
 }
 
+// refuseUnsent ends the exchange whose first frame can't be encoded. Its request has not run.
+func (k *link) refuseUnsent(f *framer.Frame, err error) {
+	k.linker.logger.Warnf("message %d to node %s not sent: %v", f.GetNumber(), k.member.Name, err)
+	if f.GetRun() == nil && f.GetAsk() == nil {
+		return
+	}
+	refusal := exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonUnreachable, "the call can't be sent to node %s: %v", k.member.Name, err)
+	k.completeExchange(&framer.Frame{Number: f.GetNumber(), Refusal: fromRefusal(refusal)})
+}
+
 // completeExchange ends the exchange that the frame answers, once the answer is whole.
 func (k *link) completeExchange(f *framer.Frame) {
 	k.mu.Lock()
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -93,6 +94,7 @@
 		cancelFuncs:  map[uint64]context.CancelFunc{},
 		partialCalls: map[uint64]*exchanger.Call{},
 	}
+	s.handleUnsent = r.refuseUnsent
 	go s.writeFrames()
 	s.readFrames(r.handleFrame)
 	s.close()
@@ -222,6 +224,16 @@
 	r.session.enqueue(frames...)
 }
 
+// refuseUnsent answers a call whose answer can't be encoded. The call may have run.
+func (r *inboundSession) refuseUnsent(f *framer.Frame, err error) {
+	r.server.linker.logger.Warnf("message %d to a node that has connected not sent: %v", f.GetNumber(), err)
+	if f.GetReply() == nil && f.GetRefusal() == nil {
+		return
+	}
+	refusal := exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the answer can't be sent: %v", err)
+	r.session.enqueue(&framer.Frame{Number: f.GetNumber(), Refusal: fromRefusal(refusal)})
+}
+
 // endCall releases what belongs to a call whose answer is queued.
 func (r *inboundSession) endCall(number uint64) {
 	r.mu.Lock()
--- a/internal/linker/session.go
+++ b/internal/linker/session.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcwire"
 
@@ -31,6 +32,8 @@
 		stream batchStream
 		// closeTransport ends the stream at once.
 		closeTransport func()
+		// handleUnsent, if set, is called for each frame that can't be encoded.
+		handleUnsent func(f *framer.Frame, err error)
 		// wake signals that frames are queued. It is closed with the session.
 		wake chan struct{}
 		// lastReceivedNanos is the time from startedAt to the last received batch.
@@ -167,7 +170,7 @@
 		// several frames saves system calls on both sides.
 		runtime.Gosched()
 		for frames := s.nextBatch(); len(frames) > 0; frames = s.nextBatch() {
-			if err := s.stream.Send(&framer.Batch{Frames: frames}); err != nil {
+			if !s.send(frames) {
 				s.close()
 				return
 			}
@@ -175,6 +178,27 @@
 	}
 }
 
+// send sends frames and reports whether the session still works. Frames that can't be encoded
+// are left out, so that the others do not fail with them. Their encoding fails before any byte
+// is sent.
+func (s *session) send(frames []*framer.Frame) bool {
+	if s.stream.Send(&framer.Batch{Frames: frames}) == nil {
+		return true
+	}
+	encodable := make([]*framer.Frame, 0, len(frames))
+	for _, f := range frames {
+		if _, err := proto.Marshal(f); err == nil {
+			encodable = append(encodable, f)
+		} else if s.handleUnsent != nil {
+			s.handleUnsent(f, err)
+		}
+	}
+	if len(encodable) == len(frames) {
+		return false
+	}
+	return len(encodable) == 0 || s.stream.Send(&framer.Batch{Frames: encodable}) == nil
+}
+
 // nextBatch removes the frames of the next message from the queue and returns them.
 func (s *session) nextBatch() (frames []*framer.Frame) {
 	s.mu.Lock()
