--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -16,6 +16,8 @@
 		{"flamingotack.connections.failed", "Connections of callers that could not be accepted.", n.acceptor.AcceptFailures.Load},
 		{"flamingotack.unbegun", "Requests that were not begun, as their callers had left.", n.acceptor.AbandonedRequests.Load},
 		{"flamingotack.repeats", "Calls that were sent to another node after the first one.", n.forwarder.Retries.Load},
+		{"flamingotack.server.loads.malformed", "Answers of the backend server whose load figures could not be parsed.", n.guardian.MalformedLoads},
+		{"flamingotack.server.loads.disbelieved", "Times at which the work figure of the backend server ceased to agree with measured run times.", n.guardian.DisbelievedLoads},
 		{"flamingotack.runs", "Calls that were sent to the backend server.", n.guardian.CallsSent.Load},
 	} {
 		if err := n.settings.Meter.RegisterCounter(c.name, c.description, c.value); err != nil {
@@ -30,6 +32,7 @@
 		{"flamingotack.config.omitted", "Customers, routes and services that the configuration in force leaves out as invalid.", func() int64 { return int64(n.table.Load().Omitted().Total()) }},
 		{"flamingotack.links.up", "Links to other nodes that stand.", func() int64 { return int64(n.linker.ConnectedPeerCount()) }},
 		{"flamingotack.server.failing", "1 while many runs on the backend server end badly.", n.failingValue},
+		{"flamingotack.server.work", "Time that work takes on the instance of the backend server, in percent of the usual time; 0 if the server does not report it.", n.guardian.WorkPercent},
 		{"flamingotack.suspects", "Requests that ran when a backend server crashed and have not ended well since.", func() int64 { return int64(n.guardian.SuspectCount()) }},
 		{"flamingotack.delegate", "1 on a node that holds rates and follows the directory for others.", n.delegateValue},
 	} {
--- a/internal/exchanger/call.go
+++ b/internal/exchanger/call.go
@@ -81,6 +81,10 @@
 		// NotExecuted marks an answer of a backend server that has not run the
 		// request.
 		NotExecuted string
+		// ServerLoad carries the load of a backend server: the numbers of its running and
+		// waiting requests and of its slots, and where it knows that the time that work
+		// takes at the moment, in percent of the usual time.
+		ServerLoad string
 		// ServerSeal marks each complete answer of a backend server.
 		ServerSeal string
 		// Warmup carries the time for which a backend server stays cold, in
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -73,6 +73,11 @@
 		// callTrees caches the trees that result from fanOuts and callTreesTable.
 		callTrees      map[callEdge]map[callEdge]edgeCalls
 		callTreesTable *director.Table
+		// routeTimes caches the mean times of the runs of routes that result from fanOuts.
+		routeTimes map[string]time.Duration
+		// workReported holds the services any of whose servers has reported its work
+		// figure.
+		workReported map[string]bool
 		// loads holds the newest load report, by node.
 		loads map[string]loadReport
 		// pressureUpdatedAt is the time of the last report of load and capacity to
@@ -138,6 +143,8 @@
 		retryBudget:     retrier.RetryBudget{RetryRatio: s.RetryRatio},
 		fanOuts:         map[string]map[string]linker.FanOut{},
 		callTrees:       map[callEdge]map[callEdge]edgeCalls{},
+		routeTimes:      map[string]time.Duration{},
+		workReported:    map[string]bool{},
 		loads:           map[string]loadReport{},
 		serviceCallTime: map[string]time.Duration{},
 		coldServices:    map[string]bool{},
@@ -173,6 +180,7 @@
 	defer f.mu.Unlock()
 	f.fanOuts[m.Name] = fanOuts
 	clear(f.callTrees)
+	clear(f.routeTimes)
 }
 
 // UpdateLoad records the load that a node reports for its backend server. A report
@@ -199,14 +207,39 @@
 	if c.Service == f.Self.Service {
 		f.updateLoadLocked(f.Self, local)
 	}
-	picked, verdict := f.router.Pick(now, f.random, f.candidates[c.Service], c.Priority, tried)
+	picked, verdict := f.router.Pick(now, f.random, f.candidates[c.Service], f.routerRequest(now, c), tried)
 	return f.members[picked.Name], verdict == router.VerdictPicked
 }
 
+// routerRequest returns the router's form of a call. The caller must hold f.mu.
+func (f *Forwarder) routerRequest(now time.Time, c *exchanger.Call) router.Request {
+	request := router.Request{Priority: c.Priority}
+	if f.workReported[c.Service] {
+		request.RunTime = f.routeTime(c.Route)
+		request.ObjectiveIn = c.ObjectiveDeadline.Sub(now)
+		request.Unrepeatable = !c.Idempotent
+	}
+	return request
+}
+
+// routeTime returns the mean time of a run of a route; 0 if it is not known. The caller must
+// hold f.mu.
+func (f *Forwarder) routeTime(route string) time.Duration {
+	known, found := f.routeTimes[route]
+	if !found {
+		known = f.meanServiceTime(route)
+		f.routeTimes[route] = known
+	}
+	return known
+}
+
 // updateLoadLocked is UpdateLoad for callers that hold f.mu.
 func (f *Forwarder) updateLoadLocked(m linker.Member, l guardian.LoadReport) {
 	now := f.Clock.Now()
 	f.router.Report(now, m.Name, routerReport(m, l))
+	if l.WorkPercent > 0 {
+		f.workReported[m.Service] = true
+	}
 	if known, found := f.loads[m.Name]; !found || known.incarnation != m.Incarnation || l.Sequence > known.load.Sequence {
 		f.loads[m.Name] = loadReport{service: m.Service, incarnation: m.Incarnation, load: l, receivedAt: now}
 	}
@@ -326,6 +359,11 @@
 		LowestAdmittedPriority: exchanger.PriorityLow,
 		Draining:               l.Closed,
 		Failing:                l.Failing,
+		WorkPercent:            l.WorkPercent,
+		WorkAge:                l.WorkAge,
+		OwnTime:                l.OwnTime,
+		RunTime:                l.MeanServiceTime,
+		ServerWaiting:          l.ServerWaiting,
 	}
 }
 
--- a/internal/guardian/availability.go
+++ b/internal/guardian/availability.go
@@ -110,6 +110,7 @@
 		g.Logger.Warnf("health check failed: %v", err)
 		return false
 	}
+	g.observeServerLoad(response)
 	id := response.Header.Get(g.HeaderNames.Instance)
 	warmup, err := parseWarmup(response.Header.Get(g.HeaderNames.Warmup))
 	if response.Status != http.StatusOK || err != nil {
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -30,6 +30,7 @@
 		CallsSent atomic.Int64
 
 		queue             *callQueue
+		speed             speedMonitor
 		suspects          *crashSuspects
 		healthCheckNeeded chan struct{}
 
@@ -66,6 +67,16 @@
 		Closed bool
 		// MeanServiceTime is the mean duration of a run.
 		MeanServiceTime time.Duration
+		// WorkPercent is the time that work takes on the server's instance, in percent of
+		// the usual time; 0 if the server does not report it. WorkAge is the age of that
+		// figure.
+		WorkPercent int
+		WorkAge     time.Duration
+		// OwnTime is the mean duration of a run without its calls at the usual speed of
+		// the instance; 0 if it is not known.
+		OwnTime time.Duration
+		// ServerWaiting is the number of requests that wait at the server itself.
+		ServerWaiting int
 	}
 
 	// Settings holds the dependencies of a Guardian.
@@ -134,6 +145,7 @@
 	summary := g.Runs.EndRun(g.Clock.Now(), run)
 	summary.Completed = refusal == nil && reply.Status < http.StatusInternalServerError
 	g.OnRunEnd(summary)
+	g.recordSpeed(&summary)
 	if permit.release(summary.Completed, g.runOutcome(&summary, reply, refusal)) {
 		g.reportFailingChange()
 	}
@@ -148,6 +160,7 @@
 	outcome := g.server.ApplyHeartbeat(g.Clock.Now(), h)
 	if outcome == HeartbeatNewIncarnation && before.LastHeartbeat.ID != "" {
 		g.recordCrash(before, "a new incarnation has started")
+		g.restartSpeed()
 	}
 	if outcome != HeartbeatAccepted {
 		g.Logger.Infof("heartbeat %d of backend server %s, started at %d ms: %s (draining %t, warmup %s)", h.Sequence, h.ID, h.StartUnixMillis, outcome, h.Draining, h.WarmupRemaining)
@@ -181,6 +194,7 @@
 	g.lastSequence++
 	report := LoadReport{Sequence: g.lastSequence, Closed: g.state != stateOpen}
 	g.queue.fillReport(&report)
+	g.fillSpeed(&report)
 	return report
 }
 
@@ -210,6 +224,7 @@
 		g.logFailure(c, id, started, refusal)
 		return nil, refusal
 	}
+	g.observeServerLoad(response)
 	reply, refusal := g.classifyResponse(response, id)
 	if refusal != nil {
 		g.logFailure(c, id, started, refusal)
--- /dev/null
+++ b/internal/guardian/serverspeed.go
@@ -0,0 +1,121 @@
+package guardian
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/flamingotack/flamingotack/internal/attributor"
+	"github.com/flamingotack/flamingotack/internal/gauger"
+	"github.com/flamingotack/flamingotack/internal/invoker"
+)
+
+// speedLogInterval is the least time between two log lines about malformed figures and
+// between two about false ones.
+const speedLogInterval = 10 * time.Second
+
+// speedMonitor keeps what the backend server reports about its load and what its runs show
+// about its speed. It is safe for concurrent use.
+type speedMonitor struct {
+	// malformed and disbelieved count the reports that could not be parsed and the times
+	// at which reports ceased to agree with measured run times.
+	malformed, disbelieved atomic.Int64
+
+	mu     sync.Mutex
+	gauger gauger.Gauger
+	// judgement is the last judgement of the work figure.
+	judgement gauger.Judgement
+	// malformedLoggedAt and judgementLoggedAt are the times of the last log lines.
+	malformedLoggedAt, judgementLoggedAt time.Time
+}
+
+// MalformedLoads returns the number of answers whose load figures could not be parsed.
+func (g *Guardian) MalformedLoads() int64 {
+	return g.speed.malformed.Load()
+}
+
+// DisbelievedLoads returns how often the work figure of the server ceased to agree with
+// measured run times.
+func (g *Guardian) DisbelievedLoads() int64 {
+	return g.speed.disbelieved.Load()
+}
+
+// WorkPercent returns the believed time that work takes on the instance, in percent of the
+// usual time; 0 if the server does not report it.
+func (g *Guardian) WorkPercent() int64 {
+	g.speed.mu.Lock()
+	defer g.speed.mu.Unlock()
+	return int64(g.speed.gauger.Estimate(g.Clock.Now()).WorkPercent)
+}
+
+// observeServerLoad records the load that a response of the backend server reports. An answer
+// from another server at the address does not count.
+func (g *Guardian) observeServerLoad(r *invoker.Response) {
+	text := r.Header.Get(g.HeaderNames.ServerLoad)
+	if text == "" || r.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	figures, err := gauger.ParseFigures(text)
+	now := g.Clock.Now()
+	s := &g.speed
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil {
+		s.gauger.Observe(now, figures)
+		return
+	}
+	s.malformed.Add(1)
+	if now.Sub(s.malformedLoggedAt) >= speedLogInterval {
+		s.malformedLoggedAt = now
+		g.Logger.Warnf("load of the backend server ignored, %d malformed so far: %v", s.malformed.Load(), err)
+	}
+}
+
+// recordSpeed records the own time of a run that completed.
+func (g *Guardian) recordSpeed(s *attributor.Summary) {
+	if !s.Completed {
+		return
+	}
+	m := &g.speed
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.gauger.RecordRun(s.EndedAt, s.Route, s.OwnTime)
+	judgement := m.gauger.Judge(s.EndedAt)
+	if judgement == m.judgement {
+		return
+	}
+	if m.judgement == gauger.JudgementAgrees {
+		m.disbelieved.Add(1)
+	}
+	m.judgement = judgement
+	if s.EndedAt.Sub(m.judgementLoggedAt) < speedLogInterval {
+		return
+	}
+	m.judgementLoggedAt = s.EndedAt
+	reported, measured := m.gauger.ReportedPercent(), m.gauger.MeasuredPercent()
+	switch judgement {
+	case gauger.JudgementAgrees:
+		g.Logger.Infof("work figure of the backend server believed again: reported %d %%, measured %d %%", reported, measured)
+	case gauger.JudgementFrozen:
+		g.Logger.Warnf("work figure of the backend server disbelieved as frozen: reported %d %%, measured %d %%", reported, measured)
+	case gauger.JudgementFalse:
+		g.Logger.Warnf("work figure of the backend server disbelieved as false: reported %d %%, measured %d %%", reported, measured)
+	}
+}
+
+// fillSpeed sets the fields of report that describe the speed of the server.
+func (g *Guardian) fillSpeed(report *LoadReport) {
+	g.speed.mu.Lock()
+	defer g.speed.mu.Unlock()
+	e := g.speed.gauger.Estimate(g.Clock.Now())
+	report.WorkPercent, report.WorkAge, report.OwnTime, report.ServerWaiting = e.WorkPercent, e.Age, e.OwnTime, e.Waiting
+}
+
+// restartSpeed forgets the speed of a former incarnation.
+func (g *Guardian) restartSpeed() {
+	g.speed.mu.Lock()
+	defer g.speed.mu.Unlock()
+	g.speed.gauger.Restart()
+	g.speed.judgement = gauger.JudgementAgrees
+}
--- a/internal/linker/convert.go
+++ b/internal/linker/convert.go
@@ -108,6 +108,10 @@
 		Failing:       l.Failing,
 		WarmupMicros:  l.WarmupRemaining.Microseconds(),
 		BearsWarm:     float32(l.WarmSlots),
+		WorkPercent:   int32(l.WorkPercent),
+		WorkAgeMicros: l.WorkAge.Microseconds(),
+		OwnMicros:     l.OwnTime.Microseconds(),
+		ServerWaiting: int32(l.ServerWaiting),
 	}
 }
 
@@ -177,6 +181,7 @@
 	for _, value := range []float64{
 		float64(m.GetLimit()), float64(m.GetRunning()), float64(m.GetQueued()),
 		float64(m.GetOffered()), float64(m.GetBears()), float64(m.GetBearsWarm()),
+		float64(m.GetWorkPercent()), float64(m.GetServerWaiting()),
 	} {
 		if err := validator.Quantity(value, validator.MaxRate); err != nil {
 			return report, errors.Wrap(err, "load report")
@@ -194,6 +199,10 @@
 		Failing:         m.GetFailing(),
 		WarmupRemaining: validator.Micros(m.GetWarmupMicros()),
 		WarmSlots:       float64(m.GetBearsWarm()),
+		WorkPercent:     int(m.GetWorkPercent()),
+		WorkAge:         validator.Micros(m.GetWorkAgeMicros()),
+		OwnTime:         validator.Micros(m.GetOwnMicros()),
+		ServerWaiting:   int(m.GetServerWaiting()),
 	}, nil
 }
 
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -29,12 +29,13 @@
 	consecutiveBroken         int
 	ejectionTime              time.Duration
 	ejectedUntil              time.Time
+	slowdown                  slowdown
 }
 
 // limitAndLoad returns the node's concurrency limit and the number of its running and
 // queued requests. Without a current report it counts only requests from this router.
 func (n *node) limitAndLoad(now time.Time) (limit, load float64) {
-	if n.reportedAt.IsZero() || now.Sub(n.reportedAt) > loadTTL {
+	if n.reportExpired(now) {
 		return unknownLimit, float64(n.inFlight)
 	}
 	limit = max(pausedLimit, float64(n.report.Limit))
@@ -98,6 +99,14 @@
 	n.report = r
 	n.reportedAt = now
 	n.sentSinceReport = 0
+	if r.WorkPercent > 0 {
+		n.slowdown.add(now.Add(-r.WorkAge), float64(r.WorkPercent)/100)
+	}
+}
+
+// reportExpired reports whether there is no report whose load is still valid.
+func (n *node) reportExpired(now time.Time) bool {
+	return n.reportedAt.IsZero() || now.Sub(n.reportedAt) > loadTTL
 }
 
 // usable reports whether the node may get new requests. A node that was ejected gets
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -90,6 +90,32 @@
 		// Failing reports whether many requests fail on its server. Other nodes are
 		// preferred as long as they have room.
 		Failing bool
+		// WorkPercent is the time that work takes on the server's instance, in percent of
+		// the usual time; 0 if the server does not report it. WorkAge is the age of that
+		// figure.
+		WorkPercent int
+		WorkAge     time.Duration
+		// OwnTime is the mean time of a run without its calls at the usual speed of the
+		// instance, and RunTime that of a whole run; 0 if they are not known.
+		OwnTime, RunTime time.Duration
+		// ServerWaiting is the number of requests that wait at the server itself.
+		ServerWaiting int
+	}
+
+	// Request is what a choice depends on, besides the nodes. All but Priority is used only
+	// for services whose servers report WorkPercent.
+	Request struct {
+		// Priority decides whether the request is shed.
+		Priority exchanger.Priority
+		// RunTime is the mean time of a run of the request's route, with its calls; 0 if it
+		// is not known.
+		RunTime time.Duration
+		// ObjectiveIn is the time after which the answer is late; 0 or less if it is not
+		// known or has passed.
+		ObjectiveIn time.Duration
+		// Unrepeatable reports whether the request can't be retried once it has been sent
+		// to a server.
+		Unrepeatable bool
 	}
 
 	// Router keeps the state of the nodes that requests may be sent to. The zero
@@ -105,6 +131,8 @@
 		// usable holds the nodes that the current Pick may choose from. Each Pick
 		// reuses its memory.
 		usable []choice
+		// workReported reports whether any of them reports its work figure.
+		workReported bool
 	}
 
 	// Verdict is the result of picking a node for a request.
@@ -142,22 +170,27 @@
 	}
 }
 
-// Pick returns the node to run a request of priority p, excluding the nodes in tried. It
-// counts the request as in flight until RecordOutcome.
-func (r *Router) Pick(now time.Time, random Random, candidates []Candidate, p exchanger.Priority, tried []string) (c Candidate, v Verdict) {
+// Pick returns the node to run a request, excluding the nodes in tried. It counts the request
+// as in flight until RecordOutcome.
+func (r *Router) Pick(now time.Time, random Random, candidates []Candidate, request Request, tried []string) (c Candidate, v Verdict) {
 	r.collectUsable(now, candidates, tried)
 	if len(r.usable) == 0 {
 		return Candidate{}, VerdictNoNode
 	}
-	if r.sheds(now, p) {
+	if r.sheds(now, request.Priority) {
 		return Candidate{}, VerdictShed
 	}
 	healthy := r.partitionHealthy()
-	choices := r.nearestWithRoom(now, p, healthy)
+	choices := r.nearestWithRoom(now, request.Priority, healthy)
 	if failing := r.usable[len(healthy):]; len(failing) > 0 && random.Float64() < failingProbeFraction {
-		choices = failing
+		choices, healthy = failing, nil
+	}
+	var picked *choice
+	if r.workReported {
+		picked = r.chooseByCompletion(now, random, choices, healthy, &request)
+	} else {
+		picked = r.chooseOfTwo(random, choices)
 	}
-	picked := r.chooseOfTwo(random, choices)
 	picked.node.countRequest()
 	return picked.candidate, VerdictPicked
 }
@@ -274,7 +307,7 @@
 // collectUsable sets r.usable to the candidates that may get new requests, the nearest
 // first.
 func (r *Router) collectUsable(now time.Time, candidates []Candidate, tried []string) {
-	r.usable = r.usable[:0]
+	r.usable, r.workReported = r.usable[:0], false
 	for locality := localityDomain; locality <= localityAny; locality++ {
 		for _, c := range candidates {
 			if r.localityOf(c) != locality || contains(tried, c.Name) {
@@ -285,6 +318,7 @@
 			if !n.usable(now) {
 				continue
 			}
+			r.workReported = r.workReported || n.report.WorkPercent > 0
 			limit, load := n.limitAndLoad(now)
 			r.usable = append(r.usable, choice{c, n, locality, limit, load})
 		}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -38,7 +38,7 @@
 	const picks = 3000
 	got := map[string]float64{}
 	for range picks {
-		c, _ := r.Pick(epoch, random, all, exchanger.PriorityNormal, nil)
+		c, _ := r.Pick(epoch, random, all, Request{Priority: exchanger.PriorityNormal}, nil)
 		got[c.Name] += 1.0 / picks
 		r.nodes[c.Name].inFlight--
 		r.nodes[c.Name].sentSinceReport--
@@ -110,7 +110,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if _, got := r.Pick(tt.now, random, all, tt.priority, nil); got != tt.want {
+			if _, got := r.Pick(tt.now, random, all, Request{Priority: tt.priority}, nil); got != tt.want {
 				t.Errorf("got verdict %d, want %d", got, tt.want)
 			}
 			r.Report(epoch, all[1].Name, shed)
@@ -125,15 +125,15 @@
 	now := epoch
 	var waited time.Duration
 	for range 8 {
-		if _, v := r.Pick(now, random, all, 0, nil); v != VerdictPicked {
+		if _, v := r.Pick(now, random, all, Request{}, nil); v != VerdictPicked {
 			t.Fatalf("got verdict %d, want a picked node", v)
 		}
-		if _, v := r.Pick(now, random, all, 0, nil); waited > 0 && v != VerdictNoNode {
+		if _, v := r.Pick(now, random, all, Request{}, nil); waited > 0 && v != VerdictNoNode {
 			t.Fatalf("got verdict %d for a second request, want no node", v)
 		}
 		r.nodes[all[0].Name].inFlight = 1
 		r.RecordOutcome(now, all[0].Name, OutcomeUnresponsive, 0)
-		if _, v := r.Pick(now, random, all, 0, nil); v != VerdictNoNode {
+		if _, v := r.Pick(now, random, all, Request{}, nil); v != VerdictNoNode {
 			t.Fatalf("got verdict %d after an unresponsive request, want no node", v)
 		}
 		waited = r.nodes[all[0].Name].ejectedUntil.Sub(now)
@@ -175,7 +175,7 @@
 					delete(ejectedUntil, c.Name)
 				}
 			case 2:
-				picked, v := r.Pick(now, random, all, exchanger.PriorityNormal, nil)
+				picked, v := r.Pick(now, random, all, Request{Priority: exchanger.PriorityNormal}, nil)
 				if v != VerdictPicked {
 					continue
 				}
@@ -197,7 +197,7 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	b.ReportAllocs()
 	for b.Loop() {
-		c, _ := r.Pick(epoch, random, all, exchanger.PriorityNormal, nil)
+		c, _ := r.Pick(epoch, random, all, Request{Priority: exchanger.PriorityNormal}, nil)
 		r.RecordOutcome(epoch, c.Name, OutcomeAnswered, 0)
 	}
 }
@@ -257,7 +257,7 @@
 					}
 				}
 				for due += perStep; due >= 1; due-- {
-					c, v := r.Pick(now, random, nodes, 0, nil)
+					c, v := r.Pick(now, random, nodes, Request{}, nil)
 					if v != VerdictPicked {
 						t.Fatalf("got verdict %d, want a node", v)
 					}
--- a/routing_filter.go
+++ b/routing_filter.go
@@ -158,7 +158,7 @@
 func (f *routingFilter) pick(call *routedCall) (m folder.Member, refusal *exchanger.Refusal) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	candidate, verdict := f.router.Pick(f.node.dependencies.Clock.Now(), f.random, call.nodes.candidates, call.request.Priority, call.triedNodes)
+	candidate, verdict := f.router.Pick(f.node.dependencies.Clock.Now(), f.random, call.nodes.candidates, router.Request{Priority: call.request.Priority}, call.triedNodes)
 	switch verdict {
 	case router.VerdictPicked:
 		return call.nodes.membersByName[candidate.Name], nil
