--- a/internal/guardian/availability.go
+++ b/internal/guardian/availability.go
@@ -25,13 +25,18 @@
 	stateOpen = "open"
 )
 
-// Run checks the health of the backend server whenever its state is unknown. It returns
-// nil when ctx ends.
+// Run checks the health of the backend server whenever its state is unknown, and polls its load
+// where answers are rare. It returns nil when ctx ends.
 func (g *Guardian) Run(ctx context.Context) error {
+	ticker := time.NewTicker(loadPollInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-ticker.C:
+			g.pollLoadIfStale(ctx)
+			continue
 		case <-g.healthCheckNeeded:
 		}
 		for delay := minHealthCheckDelay; ctx.Err() == nil && g.needsHealthCheck(); delay = min(maxHealthCheckDelay, 2*delay) {
--- a/internal/guardian/callqueue.go
+++ b/internal/guardian/callqueue.go
@@ -31,6 +31,8 @@
 	warmupRateFraction = 0.95
 	// offeredDecayTime is the time constant of the average of the offered work.
 	offeredDecayTime = 400 * time.Millisecond
+	// minBusySlots is the offered work from which a queue counts as busy, in slots.
+	minBusySlots = 0.01
 	// defaultServiceTime is used until a mean service time has been measured.
 	defaultServiceTime = 50 * time.Millisecond
 )
@@ -260,6 +262,14 @@
 	return q.isColdAt(q.clock.Now())
 }
 
+// busy reports whether the queue is open and calls wait, run or have been offered lately.
+func (q *callQueue) busy() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	offeredSlots := q.offeredSlotSeconds.Value(q.clock.Now(), offeredDecayTime) / offeredDecayTime.Seconds()
+	return q.closedRefusal == nil && (q.running > 0 || q.scheduler.Len() > 0 || offeredSlots >= minBusySlots)
+}
+
 func (q *callQueue) isColdAt(now time.Time) bool {
 	return q.limits.warmupRatePerSecond > 0 && now.Before(q.limits.coldUntil)
 }
--- a/internal/guardian/serverspeed.go
+++ b/internal/guardian/serverspeed.go
@@ -1,6 +1,7 @@
 package guardian
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,9 +12,16 @@
 	"github.com/flamingotack/flamingotack/internal/invoker"
 )
 
-// speedLogInterval is the least time between two log lines about malformed figures and
-// between two about false ones.
-const speedLogInterval = 10 * time.Second
+const (
+	// speedLogInterval is the least time between two log lines about malformed figures and
+	// between two about false ones.
+	speedLogInterval = 10 * time.Second
+	// loadPollInterval is the period in which the age of the work figure is checked, and
+	// minPollAge the age from which it is polled. Slow phases of an instance last about
+	// 600 ms, so an older figure says little.
+	loadPollInterval = 250 * time.Millisecond
+	minPollAge       = time.Second
+)
 
 // speedMonitor keeps what the backend server reports about its load and what its runs show
 // about its speed. It is safe for concurrent use.
@@ -21,11 +29,15 @@
 	// malformed and disbelieved count the reports that could not be parsed and the times
 	// at which reports ceased to agree with measured run times.
 	malformed, disbelieved atomic.Int64
+	// polls counts the health checks that were sent for the load alone.
+	polls atomic.Int64
 
 	mu     sync.Mutex
 	gauger gauger.Gauger
 	// judgement is the last judgement of the work figure.
 	judgement gauger.Judgement
+	// polledAt is the time of the last poll.
+	polledAt time.Time
 	// malformedLoggedAt and judgementLoggedAt are the times of the last log lines.
 	malformedLoggedAt, judgementLoggedAt time.Time
 }
@@ -49,6 +61,43 @@
 	return int64(g.speed.gauger.Estimate(g.Clock.Now()).WorkPercent)
 }
 
+// LoadPolls returns the number of health checks that were sent for the load alone.
+func (g *Guardian) LoadPolls() int64 {
+	return g.speed.polls.Load()
+}
+
+// pollLoadIfStale requests the health path if the server reports its work figure, the figure
+// is older than minPollAge and calls wait, run or are offered. Health checks cost a server
+// work, so it sends at most one in minPollAge, and none while the server is cold.
+func (g *Guardian) pollLoadIfStale(ctx context.Context) {
+	service := g.Table().Service(g.Service)
+	if service == nil || g.queue.isCold() || !g.queue.busy() || !g.loadStale() {
+		return
+	}
+	g.speed.polls.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
+	defer cancel()
+	response, err := g.Backend.Send(ctx, &invoker.Request{Method: http.MethodGet, Target: service.HealthPath, Host: g.Backend.Address})
+	if err == nil && response.Header.Get(g.HeaderNames.Instance) == g.instanceID() {
+		g.observeServerLoad(response)
+	}
+}
+
+// loadStale reports whether the work figure is due to be polled, and notes the time of the
+// poll if it is.
+func (g *Guardian) loadStale() bool {
+	now := g.Clock.Now()
+	s := &g.speed
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.gauger.Estimate(now)
+	if e.WorkPercent == 0 || e.Age < minPollAge || now.Sub(s.polledAt) < minPollAge {
+		return false
+	}
+	s.polledAt = now
+	return true
+}
+
 // observeServerLoad records the load that a response of the backend server reports. An answer
 // from another server at the address does not count.
 func (g *Guardian) observeServerLoad(r *invoker.Response) {
