--- a/internal/router/completion.go
+++ b/internal/router/completion.go
@@ -66,10 +66,7 @@
 // the request can't be retried and the farther node is surer.
 func (r *Router) chooseByCompletion(now time.Time, random Random, near, healthy []choice, request *Request) *choice {
 	work := r.workloadOf(now, request)
-	for i := range r.usable {
-		r.usable[i].expect(now, &work)
-	}
-	best, bestEnd := chooseSoonest(random, near, &work)
+	best, bestEnd := chooseSoonest(now, random, near, &work)
 	if len(near) >= len(healthy) {
 		return best
 	}
@@ -83,7 +80,7 @@
 	case left > 0:
 		advantage = fartherAdvantage
 	}
-	farther, fartherEnd := chooseSoonest(random, healthy[len(near):], &work)
+	farther, fartherEnd := chooseSoonest(now, random, healthy[len(near):], &work)
 	if fartherEnd*advantage < bestEnd && best.reportsWork() && farther.reportsWork() {
 		return farther
 	}
@@ -93,9 +90,10 @@
 // chooseSoonest draws choiceCount nodes at random, weighted by free capacity and speed, and
 // returns the one with the earliest expected end, in seconds from now. If one of two nodes
 // does not report its work figure, the less utilized one is better.
-func chooseSoonest(random Random, choices []choice, work *workload) (best *choice, bestEnd float64) {
+func chooseSoonest(now time.Time, random Random, choices []choice, work *workload) (best *choice, bestEnd float64) {
 	total := 0.0
 	for i := range choices {
+		choices[i].expect(now, work)
 		total += choices[i].node.prospect.weight
 	}
 	for range choiceCount {
@@ -174,9 +172,9 @@
 // reported a low load get the requests of all senders until their next report.
 func (c *choice) expect(now time.Time, work *workload) {
 	n := c.node
-	slowdown, deviation := n.slowdown.estimate(now)
+	slowdown, correlation := n.slowdown.estimate(now)
 	if work.unrepeatable {
-		slowdown += uncertaintyFactor*deviation + brokenSlowdown*float64(n.consecutiveBroken)
+		slowdown += uncertaintyFactor*n.slowdown.uncertainty(correlation) + brokenSlowdown*float64(n.consecutiveBroken)
 	}
 	relativeTime := 1.0
 	if n.report.OwnTime > 0 && work.meanOwnTime > 0 {
--- a/internal/router/slowdown.go
+++ b/internal/router/slowdown.go
@@ -33,6 +33,8 @@
 	// sum, squares and weight sum the figures, their squares and their weights. The weight
 	// of a figure is the time in seconds for which it was the newest, decayed.
 	sum, squares, weight float64
+	// learned and deviation are the mean of the figures and their standard deviation.
+	learned, deviation float64
 }
 
 // add adds a figure with its time. Figures that are not newer than the last one are dropped.
@@ -50,19 +52,29 @@
 	s.squares = s.squares*decay + weight*factor*factor
 	s.weight = s.weight*decay + weight
 	s.factor, s.reportedAt = factor, at
-}
 
-// estimate returns the expected slowdown at now and its standard deviation. Both move from the
-// newest figure to the learned values with its age.
-func (s *slowdown) estimate(now time.Time) (mean, deviation float64) {
 	prior := priorSlowdownTime.Seconds()
-	weight := s.weight + prior
-	learned := (s.sum + prior) / weight
-	second := (s.squares + prior*(1+priorDeviation*priorDeviation)) / weight
-	variance := max(0, second-learned*learned)
-	correlation := 0.0
-	if !s.reportedAt.IsZero() {
-		correlation = math.Exp(-max(0, now.Sub(s.reportedAt).Seconds()) / slowdownDecayTime.Seconds())
+	total := s.weight + prior
+	s.learned = (s.sum + prior) / total
+	second := (s.squares + prior*(1+priorDeviation*priorDeviation)) / total
+	s.deviation = math.Sqrt(max(0, second-s.learned*s.learned))
+}
+
+// estimate returns the expected slowdown at now. It moves from the newest figure to the learned
+// mean with the age of the figure. correlation is what is left of the figure's worth, from 1 to
+// 0.
+func (s *slowdown) estimate(now time.Time) (mean, correlation float64) {
+	if s.reportedAt.IsZero() {
+		return 1, 0
+	}
+	correlation = math.Exp(-max(0, now.Sub(s.reportedAt).Seconds()) / slowdownDecayTime.Seconds())
+	return s.learned + (s.factor-s.learned)*correlation, correlation
+}
+
+// uncertainty returns the standard deviation of an estimate with that correlation.
+func (s *slowdown) uncertainty(correlation float64) float64 {
+	if s.reportedAt.IsZero() {
+		return priorDeviation
 	}
-	return learned + (s.factor-learned)*correlation, math.Sqrt(variance * (1 - correlation*correlation))
+	return s.deviation * math.Sqrt(1-correlation*correlation)
 }
--- a/internal/router/uneven_test.go
+++ b/internal/router/uneven_test.go
@@ -263,3 +263,19 @@
 		})
 	}
 }
+
+func BenchmarkPickByCompletion(b *testing.B) {
+	r := &Router{Domain: "d0", Region: "r0"}
+	all := newCandidates(40)
+	for i, c := range all {
+		report := newReport(100, i)
+		report.WorkPercent, report.OwnTime, report.RunTime = 100+i, simulatedWork, simulatedWork
+		r.Report(epoch, c.Name, report)
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	b.ReportAllocs()
+	for b.Loop() {
+		c, _ := r.Pick(epoch.Add(50*time.Millisecond), random, all, Request{RunTime: simulatedWork}, nil)
+		r.RecordOutcome(epoch, c.Name, OutcomeAnswered, 0)
+	}
+}
