Leave cold runs out of the learned speed of a server

Runs on a cold server are slow. Learned over 8 s, they would keep calls away from the server after it has warmed up. TestColdRunsDoNotCountAsSpeed fails without the change.

--- a/internal/guardian/serverspeed.go
+++ b/internal/guardian/serverspeed.go
@@ -121,9 +121,10 @@
 	}
 }
 
-// recordSpeed records the own time of a run that completed.
+// recordSpeed records the own time of a run that completed. Runs on a cold server say nothing
+// of its speed once it is warm.
 func (g *Guardian) recordSpeed(s *attributor.Summary) {
-	if !s.Completed {
+	if !s.Completed || g.queue.isCold() {
 		return
 	}
 	m := &g.speed
--- a/internal/guardian/serverspeed_test.go
+++ b/internal/guardian/serverspeed_test.go
@@ -66,6 +66,27 @@
 	}
 }
 
+// TestColdRunsDoNotCountAsSpeed guards against a server that is avoided for seconds after it has
+// warmed up, because its cold runs were slow.
+func TestColdRunsDoNotCountAsSpeed(t *testing.T) {
+	var f *fixture
+	f = newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		f.clock.Advance(100 * time.Millisecond)
+		w.Header().Set("Load", "1,0,8,100")
+		writeSealed(w, r)
+	})
+	f.announce(8, time.Second)
+	f.HandleCall(t.Context(), f.newCall("1"))
+	if got := f.LoadReport().OwnTime; got != 0 {
+		t.Errorf("got own time %s from a cold run, want 0s", got)
+	}
+	f.clock.Advance(time.Second)
+	f.HandleCall(t.Context(), f.newCall("2"))
+	if got, want := f.LoadReport().OwnTime, 100*time.Millisecond; got != want {
+		t.Errorf("got own time %s from a warm run, want %s", got, want)
+	}
+}
+
 // TestLoadIsPolledOnlyWhenNeeded guards against health checks without a use: the load is polled
 // only if the server reports its work figure, the figure is old and calls are there.
 func TestLoadIsPolledOnlyWhenNeeded(t *testing.T) {
