--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -18,6 +18,9 @@
 		{"flamingotack.connections.failed", "Connections of callers that could not be accepted.", n.acceptor.AcceptFailures.Load},
 		{"flamingotack.unbegun", "Requests that were not begun, as their callers had left.", n.acceptor.AbandonedRequests.Load},
 		{"flamingotack.repeats", "Calls that were sent to another node after the first one.", n.forwarder.Retries.Load},
+		{"flamingotack.server.loads.malformed", "Answers of the backend server whose load figures could not be parsed.", n.guardian.MalformedLoads},
+		{"flamingotack.server.loads.disbelieved", "Times at which the work figure of the backend server ceased to agree with measured run times.", n.guardian.DisbelievedLoads},
+		{"flamingotack.server.loads.polled", "Health checks that were sent to the backend server for its load alone.", n.guardian.LoadPolls},
 		{"flamingotack.runs", "Calls that were sent to the backend server.", n.guardian.CallsSent.Load},
 		{"flamingotack.answers.invalid", "Answers of the backend server that were none.", n.guardian.Backend.InvalidResponses.Load},
 	} {
@@ -34,6 +37,7 @@
 		{"flamingotack.era", "Era of the directory from which the configuration in force was read.", func() int64 { return int64(n.table.Load().State.Era) }},
 		{"flamingotack.links.up", "Links to other nodes that stand.", func() int64 { return int64(n.linker.ConnectedPeerCount()) }},
 		{"flamingotack.server.failing", "1 while many runs on the backend server end badly.", n.failingValue},
+		{"flamingotack.server.work", "Time that work takes on the instance of the backend server, in percent of the usual time; 0 if the server does not report it.", n.guardian.WorkPercent},
 		{"flamingotack.suspects", "Requests that ran when a backend server crashed and have not ended well since.", func() int64 { return int64(n.guardian.SuspectCount()) }},
 		{"flamingotack.delegate", "1 on a node that holds rates and follows the directory for others.", n.delegateValue},
 	} {
