--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/flamingotack/flamingotack/internal/accountant"
 	"github.com/flamingotack/flamingotack/internal/logger"
 )
 
@@ -51,8 +52,10 @@
 	// Request is an HTTP request whose body has been read.
 	Request struct {
 		*http.Request
-		// Content is the whole body.
+		// Content is the body, or its first part if MoreContent has further parts.
 		Content []byte
+		// MoreContent holds the parts of a large body that follow Content, in order.
+		MoreContent [][]byte
 		// ArrivedAt is when the header was read.
 		ArrivedAt time.Time
 	}
@@ -63,13 +66,18 @@
 		Status int
 		// Header holds the end-to-end header fields.
 		Header http.Header
-		// Body is the whole body. It is not sent in response to a HEAD request.
+		// Body is the body, or its first part if MoreBody has further parts. It is not
+		// sent in response to a HEAD request.
 		Body []byte
+		// MoreBody holds the parts that follow Body, in order.
+		MoreBody [][]byte
 	}
 
 	// Server serves connections. The exported fields must be set before use and
 	// must not be nil. It is safe for concurrent use.
 	Server struct {
+		// Account bounds the memory of requests and responses; nil means no bound.
+		Account *accountant.Account
 		// MaxConnections bounds the open connections; 0 means no bound. At the
 		// bound, the connections that have been idle longest are closed.
 		MaxConnections int
@@ -89,11 +97,17 @@
 		// AbandonedRequests counts the requests that were read but not started
 		// because their callers had disconnected.
 		AbandonedRequests atomic.Int64
+		// MemoryRefusals counts the requests that were refused, and UnreadResponses the
+		// connections that were closed with responses to send, because memory was short.
+		MemoryRefusals, UnreadResponses atomic.Int64
 
-		pending atomic.Int64
-		mu      sync.Mutex
-		closed  bool
-		conns   map[*conn]struct{}
+		// closedLoggedAt is when a connection that was closed for lack of memory was
+		// last logged, in nanoseconds since 1970.
+		closedLoggedAt atomic.Int64
+		pending        atomic.Int64
+		mu             sync.Mutex
+		closed         bool
+		conns          map[*conn]struct{}
 		// closingConns are the connections that were closed while idle and are
 		// still read for their linger timeout.
 		closingConns map[*conn]struct{}
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -25,20 +25,26 @@
 
 // newBoundedServer is newTestServer with a bound on the connections.
 func newBoundedServer(t *testing.T, connections int, handle func(context.Context, *Request) *Response) (server *Server, dial func() net.Conn) {
+	t.Helper()
+	return newConfiguredServer(t, func(s *Server) { s.MaxConnections = connections }, handle)
+}
+
+// newConfiguredServer is newTestServer with further settings.
+func newConfiguredServer(t *testing.T, configure func(*Server), handle func(context.Context, *Request) *Response) (server *Server, dial func() net.Conn) {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	server = &Server{
-		MaxConnections: connections,
-		Draining:       func() bool { return false },
-		Handle:         handle,
-		Logger:         logger.New(io.Discard, "info", "n"),
+		Draining: func() bool { return false },
+		Handle:   handle,
+		Logger:   logger.New(io.Discard, "info", "n"),
 		Limits: func() Limits {
 			return Limits{MaxHeaderBytes: 8 << 10, MaxBodyBytes: 1 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second}
 		},
 	}
+	configure(server)
 	go server.Serve(l)
 	t.Cleanup(func() {
 		l.Close()
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"os"
 	"slices"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/flamingotack/flamingotack/internal/accountant"
 )
 
 const readBufferBytes = 4 << 10
@@ -19,6 +21,8 @@
 var (
 	errBodyTooLarge = errors.New("request body too large")
 	errHeadTooLarge = errors.New("request header too large")
+	errEvicted      = errors.New("evicted, as memory is short and no data has arrived for long")
+	errMemoryShort  = errors.New("memory is short")
 )
 
 type (
@@ -28,6 +32,18 @@
 		socket       net.Conn
 		socketReader *socketReader
 		reader       *bufio.Reader
+		// holder holds the memory of the requests and responses of the connection.
+		holder accountant.Holder
+		// headMeter charges the head that is being read.
+		headMeter headMeter
+		// requestBytes is the memory that is reserved for the request being read.
+		requestBytes int64
+		// writeEvicted is set if the connection was evicted during a write.
+		// writeWaits says that a write is in progress.
+		writeEvicted, writeWaits atomic.Bool
+		// singlePart holds what is written next if it has one part, which saves an
+		// allocation.
+		singlePart [1][]byte
 
 		mu sync.Mutex
 		// queue holds the exchanges whose response is not written yet, in order.
@@ -48,9 +64,13 @@
 
 	// exchange is a request with its response, which is nil until it is known.
 	exchange struct {
-		// request is nil when it could not be read.
+		// request is nil when it could not be read and once it has a response.
 		request  *Request
 		response *Response
+		// head says that the request's method is HEAD.
+		head bool
+		// reservedBytes is the memory that is reserved for the request or its response.
+		reservedBytes int64
 		// started says that the request is running or has run.
 		started bool
 		// closeAfter says that the connection closes after this exchange.
@@ -60,7 +80,7 @@
 
 func newConn(s *Server, socket net.Conn) *conn {
 	socketReader := newSocketReader(socket)
-	return &conn{
+	c := &conn{
 		server:        s,
 		socket:        socket,
 		socketReader:  socketReader,
@@ -68,11 +88,14 @@
 		lingerTimeout: lingerTimeout,
 		idleFrom:      time.Now(),
 	}
+	s.Account.Register(&c.holder, c.evict)
+	return c
 }
 
 // serve reads requests until the caller disconnects or the connection closes.
 func (c *conn) serve() {
 	defer c.server.removeConn(c)
+	defer c.server.Account.Unregister(&c.holder)
 	defer c.socket.Close()
 	defer c.discardUnstarted()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -81,13 +104,18 @@
 	for c.awaitRequest() {
 		r, err := c.readRequest(c.server.Limits())
 		if err != nil {
+			c.releaseRequest()
 			if c.refuseRequest(err) {
 				c.discardInput()
 			}
 			return
 		}
-		e := &exchange{request: r, closeAfter: r.Close || !r.ProtoAtLeast(1, 1)}
-		if !c.enqueue(e) || e.closeAfter {
+		e := &exchange{request: r, head: r.Method == http.MethodHead, reservedBytes: c.requestBytes, closeAfter: r.Close || !r.ProtoAtLeast(1, 1)}
+		queued := c.enqueue(e)
+		if !queued {
+			c.releaseRequest()
+		}
+		if !queued || e.closeAfter {
 			c.discardInput()
 			return
 		}
@@ -100,7 +128,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	count := len(c.queue)
-	c.queue = slices.DeleteFunc(c.queue, func(e *exchange) bool { return !e.started && e.response == nil })
+	c.queue = slices.DeleteFunc(c.queue, func(e *exchange) bool {
+		unstarted := !e.started && e.response == nil
+		if unstarted {
+			c.holder.Release(e.reservedBytes)
+		}
+		return unstarted
+	})
 	count -= len(c.queue)
 	c.server.pending.Add(-int64(count))
 	c.server.AbandonedRequests.Add(int64(count))
@@ -179,42 +213,6 @@
 	_ = c.socket.SetReadDeadline(time.Now().Add(c.server.Limits().IdleTimeout))
 }
 
-// readRequest reads one request with its body.
-func (c *conn) readRequest(limits Limits) (r *Request, err error) {
-	_ = c.socket.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	httpRequest, err := http.ReadRequest(c.reader)
-	if err != nil {
-		return nil, err
-	}
-	r = &Request{Request: httpRequest, ArrivedAt: time.Now()}
-	if httpRequest.ContentLength == 0 {
-		return r, nil
-	}
-	if httpRequest.ContentLength > limits.MaxBodyBytes {
-		return nil, errBodyTooLarge
-	}
-	c.socketReader.remainingBytes = limits.MaxBodyBytes*2 + readBufferBytes
-	_ = c.socket.SetReadDeadline(time.Now().Add(bodyTimeout))
-	if strings.EqualFold(httpRequest.Header.Get("Expect"), "100-continue") {
-		c.sendContinue()
-	}
-	r.Content, err = readBody(httpRequest, limits.MaxBodyBytes)
-	return r, err
-}
-
-func readBody(httpRequest *http.Request, limit int64) (content []byte, err error) {
-	if httpRequest.ContentLength > 0 {
-		content = make([]byte, httpRequest.ContentLength)
-		_, err = io.ReadFull(httpRequest.Body, content)
-		return content, err
-	}
-	content, err = io.ReadAll(io.LimitReader(httpRequest.Body, limit+1))
-	if err == nil && int64(len(content)) > limit {
-		return nil, errBodyTooLarge
-	}
-	return content, err
-}
-
 // sendContinue sends 100 Continue, unless other responses are pending.
 func (c *conn) sendContinue() {
 	c.mu.Lock()
@@ -228,8 +226,14 @@
 // has disconnected.
 func (c *conn) refuseRequest(err error) bool {
 	status := http.StatusBadRequest
+	var header http.Header
 	var netErr net.Error
 	switch {
+	case errors.Is(err, errEvicted), errors.Is(err, errMemoryShort):
+		status = http.StatusServiceUnavailable
+		header = http.Header{"Retry-After": {memoryRetryAfter}}
+		c.server.MemoryRefusals.Add(1)
+		c.server.logClosed(c, err)
 	case errors.Is(err, errBodyTooLarge):
 		status = http.StatusRequestEntityTooLarge
 	case errors.Is(err, errHeadTooLarge):
@@ -241,7 +245,7 @@
 	}
 	e := &exchange{closeAfter: true}
 	if c.enqueue(e) {
-		c.complete(e, &Response{Status: status})
+		c.complete(e, &Response{Status: status, Header: header})
 	}
 	return true
 }
@@ -273,9 +277,10 @@
 // order, unless another goroutine is already writing.
 func (c *conn) complete(e *exchange, response *Response) {
 	draining := c.server.Draining()
+	response = c.reserveResponse(e, response)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	e.response = response
+	e.response, e.request = response, nil
 	if c.writing {
 		return
 	}
@@ -301,7 +306,8 @@
 
 // readyResponses returns the encoded responses at the head of the queue, up to the first
 // one that is not known, and their number. The caller holds the lock.
-func (c *conn) readyResponses(draining bool) (out []byte, count int) {
+func (c *conn) readyResponses(draining bool) (out net.Buffers, count int) {
+	var small []byte
 	for i, e := range c.queue {
 		if e.response == nil {
 			break
@@ -310,28 +316,24 @@
 		// request.
 		e.closeAfter = e.closeAfter || draining && i == len(c.queue)-1
 		c.closing = c.closing || e.closeAfter
-		out = appendResponse(out, e)
+		body := e.response.bodyParts(e.head)
+		small = appendHead(small, e)
+		if len(body) == 1 && len(body[0]) <= maxCopiedBodyBytes {
+			small = append(small, body[0]...)
+		} else if len(body) > 0 {
+			out = append(append(out, small), body...)
+			small = nil
+		}
 		count++
 	}
-	return out, count
-}
-
-// write writes to the connection and closes it if that fails. The caller holds the lock,
-// which is released during the write, so that a disconnect of a caller that reads slowly
-// is still detected.
-func (c *conn) write(out []byte) {
-	c.mu.Unlock()
-	defer c.mu.Lock()
-	_ = c.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := c.socket.Write(out); err != nil {
-		c.socket.Close()
+	switch {
+	case out == nil:
+		c.singlePart[0] = small
+		out = c.singlePart[:]
+	case len(small) > 0:
+		out = append(out, small)
 	}
-}
-
-// dequeue removes the first exchanges from the queue. The caller holds the lock.
-func (c *conn) dequeue(count int) {
-	c.queue = append(c.queue[:0], c.queue[count:]...)
-	c.server.pending.Add(-int64(count))
+	return out, count
 }
 
 // closeWrite closes the write side and sets the deadline until which the connection is
--- /dev/null
+++ b/internal/acceptor/memory.go
@@ -0,0 +1,204 @@
+package acceptor
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/flamingotack/flamingotack/internal/accountant"
+)
+
+const (
+	// reserveRetryDelay is the pause between two reservations while evicted connections
+	// release their memory, and maxReserveRetries bounds their number.
+	reserveRetryDelay = 2 * time.Millisecond
+	maxReserveRetries = 50
+	// maxWriteBytes is how much of a response is written at once. Each write that ends is
+	// progress of the caller.
+	maxWriteBytes = 256 << 10
+	// memoryRetryAfter is the Retry-After value, in seconds, of a request that was refused
+	// because memory is short.
+	memoryRetryAfter = "1.000"
+	// closedLogInterval is the minimum time between two log lines about connections that
+	// were refused or closed because memory is short.
+	closedLogInterval = time.Second
+)
+
+// headMeter counts the lines of a head as they arrive.
+type headMeter struct {
+	// lineBytes is the length of the line that has not ended yet, endsInCR says whether its
+	// last byte is a CR.
+	lineBytes int
+	endsInCR  bool
+	// begun says that a line with content was seen, ended that the head is complete.
+	begun, ended bool
+}
+
+// add counts the bytes and lines of the head that data contains.
+func (m *headMeter) add(data []byte) (headBytes, lines int) {
+	rest := data
+	for !m.ended && len(rest) > 0 {
+		end := bytes.IndexByte(rest, '\n')
+		part := rest
+		if end >= 0 {
+			part = rest[:end]
+		}
+		if len(part) > 0 {
+			m.lineBytes += len(part)
+			m.endsInCR = part[len(part)-1] == '\r'
+		}
+		if end < 0 {
+			return len(data), lines
+		}
+		empty := m.lineBytes == 0 || m.lineBytes == 1 && m.endsInCR
+		m.begun, m.ended = m.begun || !empty, empty && m.begun
+		m.lineBytes, m.endsInCR = 0, false
+		rest = rest[end+1:]
+		lines++
+	}
+	return len(data) - len(rest), lines
+}
+
+// chargeHead reserves memory for the part of a head that data contains.
+func (c *conn) chargeHead(data []byte) error {
+	if c.headMeter.ended || len(data) == 0 {
+		return nil
+	}
+	return c.reserve(accountant.HeadBytes(c.headMeter.add(data)))
+}
+
+// reserve reserves memory for the request that is being read.
+func (c *conn) reserve(size int64) error {
+	if c.reserveOrWait(size) {
+		c.requestBytes += size
+		return nil
+	}
+	if c.holder.Evicted() {
+		return errEvicted
+	}
+	return errMemoryShort
+}
+
+// release gives back memory of the request that is being read.
+func (c *conn) release(size int64) {
+	c.requestBytes -= size
+	c.holder.Release(size)
+}
+
+// releaseRequest gives back all memory of the request that is being read.
+func (c *conn) releaseRequest() {
+	c.holder.Release(c.requestBytes)
+	c.requestBytes = 0
+}
+
+// reserveOrWait reserves memory. It waits a short time for that of evicted connections.
+func (c *conn) reserveOrWait(size int64) (reserved bool) {
+	for range maxReserveRetries {
+		switch c.holder.Reserve(time.Now(), size) {
+		case accountant.Granted:
+			return true
+		case accountant.Refused:
+			return false
+		case accountant.Pending:
+			time.Sleep(reserveRetryDelay)
+		}
+	}
+	return false
+}
+
+// reserveResponse replaces the memory of a request, which has ended, by that of its response.
+// If memory is short, it closes the connection, as the request may have run, and returns a
+// response without a body.
+func (c *conn) reserveResponse(e *exchange, r *Response) *Response {
+	size := r.heldBytes()
+	change := size - e.reservedBytes
+	if change <= 0 {
+		c.holder.Release(-change)
+		e.reservedBytes = size
+		return r
+	}
+	if c.reserveOrWait(change) {
+		e.reservedBytes = size
+		return r
+	}
+	c.server.UnreadResponses.Add(1)
+	c.server.logClosed(c, errMemoryShort)
+	c.socket.Close()
+	return &Response{Status: http.StatusBadGateway}
+}
+
+// evict makes the connection release its memory: a read or a write that waits for the caller
+// ends with os.ErrDeadlineExceeded.
+func (c *conn) evict() {
+	if c.writeWaits.Load() {
+		c.writeEvicted.Store(true)
+		_ = c.socket.SetWriteDeadline(time.Unix(1, 0))
+	}
+	_ = c.socket.SetReadDeadline(time.Unix(1, 0))
+}
+
+// write writes to the connection and closes it if that fails. The caller holds the lock,
+// which is released during the write, so that a disconnect of a caller that reads slowly
+// is still detected.
+func (c *conn) write(out net.Buffers) {
+	c.mu.Unlock()
+	defer c.mu.Lock()
+	now := time.Now()
+	c.holder.StartWait(now)
+	c.writeWaits.Store(true)
+	defer c.holder.EndWait()
+	defer c.writeWaits.Store(false)
+	_ = c.socket.SetWriteDeadline(now.Add(writeTimeout))
+	if err := c.writeParts(out); err != nil {
+		c.socket.Close()
+	}
+	clear(out)
+}
+
+// writeParts writes the parts in pieces, so that progress of the caller is seen.
+func (c *conn) writeParts(out net.Buffers) (err error) {
+	for _, part := range out {
+		for err == nil && len(part) > 0 && !c.writeEvicted.Load() {
+			var n int
+			n, err = c.socket.Write(part[:min(len(part), maxWriteBytes)])
+			part = part[n:]
+			if len(part) > 0 || len(out) > 1 {
+				c.holder.RecordProgress(time.Now())
+			}
+		}
+	}
+	if c.writeEvicted.Load() {
+		c.server.UnreadResponses.Add(1)
+		c.server.logClosed(c, errEvicted)
+		return errEvicted
+	}
+	return err
+}
+
+// dequeue removes the first exchanges from the queue. The caller holds the lock.
+func (c *conn) dequeue(count int) {
+	for _, e := range c.queue[:count] {
+		c.holder.Release(e.reservedBytes)
+	}
+	kept := copy(c.queue, c.queue[count:])
+	clear(c.queue[kept:])
+	c.queue = c.queue[:kept]
+	c.server.pending.Add(-int64(count))
+}
+
+// logClosed logs that memory is short, with the caller's address, at most once in
+// closedLogInterval.
+func (s *Server) logClosed(c *conn, reason error) {
+	now, last := time.Now().UnixNano(), s.closedLoggedAt.Load()
+	if now-last < int64(closedLogInterval) || !s.closedLoggedAt.CompareAndSwap(last, now) {
+		return
+	}
+	action := "request refused"
+	if !errors.Is(reason, errMemoryShort) {
+		action = "connection closed"
+	}
+	s.Logger.Warnf("%s, caller %s: %v; %d requests refused and %d connections closed with responses to send so far, %d of %d bytes in use",
+		action, c.socket.RemoteAddr(), reason, s.MemoryRefusals.Load(), s.UnreadResponses.Load(), s.Account.UsedBytes(), s.Account.SizeBytes())
+}
--- /dev/null
+++ b/internal/acceptor/requestreader.go
@@ -0,0 +1,202 @@
+package acceptor
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/flamingotack/flamingotack/internal/exchanger"
+)
+
+const (
+	// wholeBodyBytes is the size up to which a body is read into one array.
+	wholeBodyBytes = 64 << 10
+	// maxPartBytes bounds the parts of a larger body. A part is reserved and allocated
+	// only when the parts before it are full, so a caller that announces a large body and
+	// sends nothing costs one part.
+	maxPartBytes = 1 << 20
+	// partShareDivisor determines the size of the next part of a body: the bytes read so
+	// far divided by it. At most this share of a body's memory is unused.
+	partShareDivisor = 8
+	// pageBytes is the unit in which the Go runtime allocates large arrays.
+	pageBytes = 8 << 10
+	// firstChunkedBytes is the size of the first array for a body of unknown length. It
+	// grows by chunkedGrowth until it has wholeBodyBytes.
+	firstChunkedBytes = 1 << 10
+	chunkedGrowth     = 4
+	// maxChunkedOverhead is how many bytes a caller may send for each byte of a body of
+	// chunks, which may have one byte each.
+	maxChunkedOverhead = 8
+)
+
+// bodyReader reads the body of a request into parts.
+type bodyReader struct {
+	conn  *conn
+	body  io.Reader
+	first []byte
+	more  [][]byte
+	// readBytes is the size of the complete parts.
+	readBytes int64
+}
+
+// readRequest reads one request with its body. It reserves the memory for it first, as
+// requestBytes.
+func (c *conn) readRequest(limits Limits) (r *Request, err error) {
+	now := time.Now()
+	c.holder.StartWait(now)
+	defer c.holder.EndWait()
+	defer func() {
+		if err != nil && c.holder.Evicted() && errors.Is(err, os.ErrDeadlineExceeded) {
+			err = errEvicted
+		}
+	}()
+	c.requestBytes = 0
+	httpRequest, err := c.readHead(now, limits)
+	if err != nil {
+		return nil, err
+	}
+	r = &Request{Request: httpRequest, ArrivedAt: time.Now()}
+	if httpRequest.ContentLength == 0 {
+		return r, nil
+	}
+	if httpRequest.ContentLength > limits.MaxBodyBytes {
+		return nil, errBodyTooLarge
+	}
+	c.socketReader.remainingBytes = limits.MaxBodyBytes*maxChunkedOverhead + readBufferBytes
+	_ = c.socket.SetReadDeadline(time.Now().Add(bodyTimeout))
+	if c.holder.Evicted() {
+		return nil, errEvicted
+	}
+	if strings.EqualFold(httpRequest.Header.Get("Expect"), "100-continue") {
+		c.sendContinue()
+	}
+	b := bodyReader{conn: c, body: httpRequest.Body}
+	if httpRequest.ContentLength > 0 {
+		err = b.readKnown(httpRequest.ContentLength)
+	} else {
+		err = b.readChunked(limits.MaxBodyBytes)
+	}
+	r.Content, r.MoreContent = b.first, b.more
+	// A trailer is not passed on.
+	r.Trailer = nil
+	return r, err
+}
+
+// readHead reads the request line and header, and charges them as they arrive.
+func (c *conn) readHead(now time.Time, limits Limits) (r *http.Request, err error) {
+	_ = c.socket.SetReadDeadline(now.Add(limits.HeaderTimeout))
+	if c.holder.Evicted() {
+		return nil, errEvicted
+	}
+	c.headMeter = headMeter{}
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if err := c.chargeHead(buffered); err != nil {
+		return nil, err
+	}
+	if c.headMeter.ended {
+		return http.ReadRequest(c.reader)
+	}
+	c.socketReader.onData = c.chargeHead
+	defer func() { c.socketReader.onData = nil }()
+	return http.ReadRequest(c.reader)
+}
+
+// readKnown reads a body of known length.
+func (b *bodyReader) readKnown(length int64) (err error) {
+	if length <= wholeBodyBytes {
+		b.first, err = b.readPart(length)
+		return err
+	}
+	for b.readBytes < length {
+		if _, err := b.appendPart(min(length-b.readBytes, b.nextPartBytes())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readChunked reads a body of unknown length, of at most limit bytes.
+func (b *bodyReader) readChunked(limit int64) (err error) {
+	ended, err := b.readFirst()
+	for err == nil && !ended && b.readBytes <= limit {
+		ended, err = b.appendPart(b.nextPartBytes())
+	}
+	if err == nil && b.readBytes > limit {
+		return errBodyTooLarge
+	}
+	return err
+}
+
+// readFirst reads up to wholeBodyBytes of a body of unknown length into one array that grows.
+func (b *bodyReader) readFirst() (ended bool, err error) {
+	size := int64(firstChunkedBytes)
+	if err := b.conn.reserve(size); err != nil {
+		return false, err
+	}
+	b.first = make([]byte, 0, size)
+	for {
+		n, err := exchanger.ReadPart(b.body, b.first[len(b.first):cap(b.first)])
+		b.first = b.first[:len(b.first)+n]
+		b.readBytes = int64(len(b.first))
+		if errors.Is(err, io.EOF) {
+			b.first = b.trim(b.first)
+			return true, nil
+		}
+		if err != nil || size >= wholeBodyBytes {
+			return false, err
+		}
+		if err := b.conn.reserve(size * (chunkedGrowth - 1)); err != nil {
+			return false, err
+		}
+		size *= chunkedGrowth
+		b.first = append(make([]byte, 0, size), b.first...)
+	}
+}
+
+// appendPart reads one more part and reports whether the body has ended in it.
+func (b *bodyReader) appendPart(size int64) (ended bool, err error) {
+	part, err := b.readPart(size)
+	b.readBytes += int64(len(part))
+	if ended = errors.Is(err, io.EOF); ended {
+		part, err = b.trim(part), nil
+	}
+	switch {
+	case len(part) == 0:
+	case b.first == nil:
+		b.first = part
+	default:
+		b.more = append(b.more, part)
+	}
+	b.conn.holder.RecordProgress(time.Now())
+	return ended, err
+}
+
+// trim copies a last part of which much is unused.
+func (b *bodyReader) trim(part []byte) []byte {
+	unused := int64(cap(part) - len(part))
+	if unused <= b.readBytes/partShareDivisor {
+		return part
+	}
+	b.conn.release(unused)
+	trimmed := make([]byte, len(part))
+	copy(trimmed, part)
+	return trimmed
+}
+
+// readPart reserves, allocates and reads one part.
+func (b *bodyReader) readPart(size int64) (part []byte, err error) {
+	if err := b.conn.reserve(size); err != nil {
+		return nil, err
+	}
+	part = make([]byte, size)
+	n, err := exchanger.ReadPart(b.body, part)
+	return part[:n], err
+}
+
+// nextPartBytes returns the size of the next part.
+func (b *bodyReader) nextPartBytes() int64 {
+	return max(wholeBodyBytes, min(maxPartBytes, b.readBytes/partShareDivisor)) &^ (pageBytes - 1)
+}
--- a/internal/acceptor/socketreader.go
+++ b/internal/acceptor/socketreader.go
@@ -13,6 +13,9 @@
 	remainingBytes int64
 	// onBlock is called when a read has to wait for data.
 	onBlock func()
+	// onData is called with the bytes that were read. Its error ends the read. It may be
+	// nil.
+	onData func([]byte) error
 
 	socket net.Conn
 	// raw is nil if the connection is not a socket of the operating system.
@@ -36,6 +39,11 @@
 	}
 	n, err = sr.read(p)
 	sr.remainingBytes -= int64(n)
+	if n > 0 && sr.onData != nil {
+		if err := sr.onData(p[:n]); err != nil {
+			return 0, err
+		}
+	}
 	return n, err
 }
 
--- /dev/null
+++ b/internal/accountant/account.go
@@ -0,0 +1,243 @@
+// Package accountant bounds the memory that requests and answers hold on a node. Bytes are
+// reserved in one account before they are allocated. When the account is short, the holders
+// that have waited longest for their peer without progress are evicted.
+package accountant
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// SmallBytes is the most that a holder has reserved in total while it counts as small.
+	// An ordinary head and the first 64 KiB of a body fit.
+	SmallBytes = 128 << 10
+	// smallShareDivisor determines the share of the account that only small holders may
+	// use: the size divided by it.
+	smallShareDivisor = 8
+	// minStallTime is how long a holder must have made no progress before it is evicted, so
+	// that callers that send at full speed do not evict each other.
+	minStallTime = 500 * time.Millisecond
+	// minScanInterval is the minimum time between two searches for holders to evict. A
+	// search visits all holders.
+	minScanInterval = 5 * time.Millisecond
+	// evictionReserveDivisor determines how much more than needed an eviction frees: the
+	// size divided by it. This keeps evictions rare.
+	evictionReserveDivisor = 16
+)
+
+// Results of a reservation.
+const (
+	// Granted says that the bytes are reserved.
+	Granted Result = iota
+	// Pending says that nothing is reserved, but evicted holders are about to release
+	// bytes, so that a reservation in a moment may be granted.
+	Pending
+	// Refused says that nothing is reserved.
+	Refused
+)
+
+type (
+	// Account is the memory account of a node. A nil Account grants everything. It is safe
+	// for concurrent use.
+	Account struct {
+		sizeBytes, smallShareBytes int64
+		usedBytes                  atomic.Int64
+		evictions, refusals        atomic.Int64
+
+		mu      sync.Mutex
+		holders map[*Holder]struct{}
+		// scannedAt is when holders to evict were last searched. evictingBytes is what
+		// evicted holders had not released then.
+		scannedAt     time.Time
+		evictingBytes int64
+	}
+
+	// Holder holds bytes of the account for one connection. The zero value has no account
+	// and is granted everything. It is safe for concurrent use.
+	Holder struct {
+		account   *Account
+		evict     func()
+		heldBytes atomic.Int64
+		// waits counts the operations that wait for the peer. The holder may be evicted
+		// while it is not 0.
+		waits atomic.Int32
+		// progressAt is when the peer last made progress, in nanoseconds since 1970.
+		progressAt atomic.Int64
+		evicted    atomic.Bool
+	}
+
+	// Result is the result of a reservation.
+	Result int
+)
+
+// New returns an account of the given size in bytes.
+func New(sizeBytes int64) *Account {
+	return &Account{sizeBytes: sizeBytes, smallShareBytes: sizeBytes / smallShareDivisor, holders: map[*Holder]struct{}{}}
+}
+
+// Evictions returns the number of holders that were evicted.
+func (a *Account) Evictions() int64 {
+	return a.evictions.Load()
+}
+
+// Refusals returns the number of reservations that were not granted. A reservation that is
+// tried again counts each time.
+func (a *Account) Refusals() int64 {
+	return a.refusals.Load()
+}
+
+// Register prepares a holder for use. evict is called at most once, with the account locked:
+// it must return at once, must not use the account, and makes the owner release the bytes. A
+// holder without evict is never evicted.
+func (a *Account) Register(h *Holder, evict func()) {
+	h.account, h.evict = a, evict
+	if a == nil || evict == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.holders[h] = struct{}{}
+}
+
+// SizeBytes returns the size of the account.
+func (a *Account) SizeBytes() int64 {
+	return a.sizeBytes
+}
+
+// Unregister makes sure that a holder is not evicted any more. Bytes that it still holds stay
+// reserved until it releases them.
+func (a *Account) Unregister(h *Holder) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.holders, h)
+}
+
+// UsedBytes returns the number of bytes that are reserved.
+func (a *Account) UsedBytes() int64 {
+	return a.usedBytes.Load()
+}
+
+// Evicted reports whether the holder was evicted. It gets no more bytes then.
+func (h *Holder) Evicted() bool {
+	return h.evicted.Load()
+}
+
+// HeldBytes returns the number of bytes that the holder has reserved.
+func (h *Holder) HeldBytes() int64 {
+	return h.heldBytes.Load()
+}
+
+// StartWait records that the holder waits for its peer from now on.
+func (h *Holder) StartWait(now time.Time) {
+	h.progressAt.Store(now.UnixNano())
+	h.waits.Add(1)
+}
+
+// EndWait ends a wait that StartWait has started.
+func (h *Holder) EndWait() {
+	h.waits.Add(-1)
+}
+
+// RecordProgress records that the peer has sent or received data.
+func (h *Holder) RecordProgress(now time.Time) {
+	h.progressAt.Store(now.UnixNano())
+}
+
+// Release gives back bytes that Reserve has granted.
+func (h *Holder) Release(bytes int64) {
+	if h.account == nil || bytes == 0 {
+		return
+	}
+	h.heldBytes.Add(-bytes)
+	h.account.usedBytes.Add(-bytes)
+}
+
+// Transfer passes reserved bytes to another holder of the same account.
+func (h *Holder) Transfer(to *Holder, bytes int64) {
+	if h.account == nil {
+		return
+	}
+	h.heldBytes.Add(-bytes)
+	to.heldBytes.Add(bytes)
+}
+
+// Reserve reserves bytes. If the account is short, it evicts other holders.
+func (h *Holder) Reserve(now time.Time, bytes int64) Result {
+	a := h.account
+	if a == nil || bytes <= 0 {
+		return Granted
+	}
+	if h.evicted.Load() {
+		return Refused
+	}
+	limitBytes := a.sizeBytes
+	if h.heldBytes.Load()+bytes > SmallBytes {
+		limitBytes -= a.smallShareBytes
+	}
+	for {
+		used := a.usedBytes.Load()
+		if used+bytes > limitBytes {
+			a.refusals.Add(1)
+			if bytes > limitBytes || !a.evictStalled(now, used+bytes-limitBytes) {
+				return Refused
+			}
+			return Pending
+		}
+		if a.usedBytes.CompareAndSwap(used, used+bytes) {
+			h.heldBytes.Add(bytes)
+			return Granted
+		}
+	}
+}
+
+// evictStalled evicts the holders that have waited longest without progress, until those
+// evicted hold the needed bytes. It reports whether evicted holders are about to release
+// bytes.
+func (a *Account) evictStalled(now time.Time, neededBytes int64) (pending bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if now.Sub(a.scannedAt) < minScanInterval {
+		return a.evictingBytes > 0
+	}
+	a.scannedAt, a.evictingBytes = now, 0
+	var stalled []stalledHolder
+	for h := range a.holders {
+		progressAt, bytes := h.progressAt.Load(), h.heldBytes.Load()
+		switch {
+		case bytes == 0:
+		case h.evicted.Load():
+			a.evictingBytes += bytes
+		case h.waits.Load() > 0 && now.UnixNano()-progressAt >= int64(minStallTime):
+			stalled = append(stalled, stalledHolder{holder: h, progressAt: progressAt, bytes: bytes})
+		}
+	}
+	if a.evictingBytes >= neededBytes {
+		return true
+	}
+	slices.SortFunc(stalled, func(x, y stalledHolder) int { return cmp.Compare(x.progressAt, y.progressAt) })
+	neededBytes += a.sizeBytes / evictionReserveDivisor
+	for _, s := range stalled {
+		if a.evictingBytes >= neededBytes {
+			break
+		}
+		s.holder.evicted.Store(true)
+		s.holder.evict()
+		a.evictions.Add(1)
+		a.evictingBytes += s.bytes
+	}
+	return a.evictingBytes > 0
+}
+
+// stalledHolder is a holder that may be evicted, as the search has found it.
+type stalledHolder struct {
+	holder     *Holder
+	progressAt int64
+	bytes      int64
+}
--- /dev/null
+++ b/internal/accountant/size.go
@@ -0,0 +1,48 @@
+package accountant
+
+import "math"
+
+const (
+	// DefaultSizeBytes is the size of the account where the memory of the instance is not
+	// known.
+	DefaultSizeBytes = 1 << 30
+	// sizeShare is the share of the instance's memory that requests and answers may hold.
+	// On the smallest instance, 184 MB, a body of 64 MiB fits beside the share for small
+	// requests, and 64 MB are left for the process, its links and garbage.
+	sizeShare = 0.52
+	// runtimeLimitShare is the share of the instance's memory that the Go runtime may use,
+	// beyond which garbage is collected without regard to its cost. The rest is for the
+	// program itself and for what the runtime allocates before a collection ends.
+	runtimeLimitShare = 0.85
+	// minSizeBytes is the size of the account on an instance with very little memory.
+	minSizeBytes = 4 << 20
+	// fieldBytes is the memory that a header field needs beside its name and value: a map
+	// entry, strings, a slice of values and the same once more as the fields of a message
+	// to another node. The test TestHeadCost measures it.
+	fieldBytes = 320
+	// headByteCopies is how often the bytes of a head are held: as read and as sent on.
+	headByteCopies = 2
+)
+
+// HeadBytes returns the memory that a head of the given number of bytes and lines needs.
+func HeadBytes(headBytes, lines int) int64 {
+	return int64(headBytes)*headByteCopies + int64(lines)*fieldBytes
+}
+
+// SizeBytes returns the size of the account on an instance with the given memory in bytes; 0
+// if that is not known.
+func SizeBytes(instanceBytes int64) int64 {
+	if instanceBytes <= 0 {
+		return DefaultSizeBytes
+	}
+	return max(minSizeBytes, int64(sizeShare*float64(instanceBytes)))
+}
+
+// RuntimeLimitBytes returns the memory limit of the Go runtime on an instance with the given
+// memory in bytes; 0 if that is not known, which means no limit.
+func RuntimeLimitBytes(instanceBytes int64) int64 {
+	if instanceBytes <= 0 {
+		return math.MaxInt64
+	}
+	return int64(runtimeLimitShare * float64(instanceBytes))
+}
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -145,7 +145,7 @@
 	}
 	decision.Outcome, decision.Status, decision.Node = "request answered", reply.Status, reply.ServerNode
 	a.Logger.LogDecision(decision)
-	return &acceptor.Response{Status: reply.Status, Header: reply.Header, Body: reply.Body}
+	return &acceptor.Response{Status: reply.Status, Header: reply.Header, Body: reply.Body, MoreBody: reply.MoreBody}
 }
 
 // observe records a finished request.
@@ -251,6 +251,7 @@
 		Host:          r.Host,
 		Header:        r.Header,
 		Body:          r.Content,
+		MoreBody:      r.MoreContent,
 		CallerService: a.LocalService,
 		Priority:      director.ClampPriority(route.Priority),
 		RoutePriority: director.ClampPriority(route.Priority),
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 
 	"github.com/flamingotack/flamingotack/internal/acceptor"
+	"github.com/flamingotack/flamingotack/internal/accountant"
 	"github.com/flamingotack/flamingotack/internal/admitter"
 	"github.com/flamingotack/flamingotack/internal/attributor"
 	"github.com/flamingotack/flamingotack/internal/director"
@@ -84,6 +85,7 @@
 		settings Settings
 		self     linker.Member
 
+		account       *accountant.Account
 		acceptor      *acceptor.Server
 		admitter      *admitter.Admitter
 		fanOutCounter *admitter.FanOutCounter
@@ -135,6 +137,8 @@
 		// MaxSockets is the number of sockets that the node may have; 0 means no
 		// limit.
 		MaxSockets int
+		// MemoryBytes is the memory of the instance; 0 means that it is not known.
+		MemoryBytes int64
 		// RateTolerance is how far customers may exceed their rates, and nodes
 		// the retries that RetryRatio allows.
 		RateTolerance admitter.RateTolerance
@@ -233,7 +237,8 @@
 
 func (n *Node) buildComponents() {
 	s, clock := n.settings, timekeeper.SystemClock{}
-	backend := &invoker.Invoker{Address: s.BackendAddress, HeaderNames: s.HeaderNames}
+	n.account = accountant.New(accountant.SizeBytes(s.MemoryBytes))
+	backend := &invoker.Invoker{Address: s.BackendAddress, Account: n.account, HeaderNames: s.HeaderNames}
 	n.fanOutCounter = admitter.NewFanOutCounter(clock)
 	runs := &attributor.Attributor{}
 	n.guardian = guardian.New(guardian.Settings{
@@ -251,6 +256,7 @@
 		Table:       n.table.Load,
 	})
 	n.linker = linker.New(n.self, clock, s.Logger.Named("linker"), linker.Handlers{
+		Account:            n.account,
 		FanOuts:            n.fanOutCounter.FanOuts,
 		DirectoryReachable: s.Directory.Reachable,
 		GrantTokens: func(ctx context.Context, key string, milliTokens int64, noBorrow bool) int64 {
@@ -291,6 +297,7 @@
 		Table:           n.table.Load,
 	})
 	n.acceptor = &acceptor.Server{
+		Account:        n.account,
 		MaxConnections: int(callerSocketShare * float64(s.MaxSockets)),
 		Draining:       n.stopping.Load,
 		Handle:         n.admitter.Handle,
--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -14,6 +14,10 @@
 		{"flamingotack.links.lost", "Links to other nodes that broke or went silent.", n.linker.LostLinks.Load},
 		{"flamingotack.connections.dropped", "Connections of callers that were closed to make room.", n.acceptor.DroppedConnections.Load},
 		{"flamingotack.connections.failed", "Connections of callers that could not be accepted.", n.acceptor.AcceptFailures.Load},
+		{"flamingotack.memory.evicted", "Connections of callers that were evicted as memory was short and no data had arrived for long.", n.account.Evictions},
+		{"flamingotack.memory.transit", "Calls of other nodes and answers to them that ended as memory was short.", n.linker.RefusedForMemory.Load},
+		{"flamingotack.memory.refused", "Requests of callers that were refused as memory was short.", n.acceptor.MemoryRefusals.Load},
+		{"flamingotack.memory.unread", "Connections of callers that were closed with answers to send as memory was short.", n.acceptor.UnreadResponses.Load},
 		{"flamingotack.unbegun", "Requests that were not begun, as their callers had left.", n.acceptor.AbandonedRequests.Load},
 		{"flamingotack.repeats", "Calls that were sent to another node after the first one.", n.forwarder.Retries.Load},
 		{"flamingotack.runs", "Calls that were sent to the backend server.", n.guardian.CallsSent.Load},
@@ -26,6 +30,7 @@
 		name, description string
 		value             func() int64
 	}{
+		{"flamingotack.memory.held", "Memory in bytes that requests and answers hold.", n.account.UsedBytes},
 		{"flamingotack.connections.open", "Connections of callers.", func() int64 { return int64(n.acceptor.OpenConnections()) }},
 		{"flamingotack.config.omitted", "Customers, routes and services that the configuration in force leaves out as invalid.", func() int64 { return int64(n.table.Load().Omitted().Total()) }},
 		{"flamingotack.links.up", "Links to other nodes that stand.", func() int64 { return int64(n.linker.ConnectedPeerCount()) }},
--- a/internal/exchanger/call.go
+++ b/internal/exchanger/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 )
@@ -24,8 +25,11 @@
 		// Header holds the end-to-end header fields without any key and
 		// without the fields that nodes set themselves.
 		Header http.Header
-		// Body is the complete body.
+		// Body is the complete body, or its first part if MoreBody has further parts.
 		Body []byte
+		// MoreBody holds the parts of a large body that follow Body, in order. All nodes
+		// hold bodies in parts, so that no large array is copied to grow.
+		MoreBody [][]byte
 		// Customer is the name of the customer; empty for anonymous requests.
 		Customer string
 		// ChainCustomer is the customer of the chain's first call; empty if that call is
@@ -94,9 +98,43 @@
 		Status int
 		// Header holds the end-to-end header fields.
 		Header http.Header
-		// Body is the complete body.
+		// Body is the complete body, or its first part if MoreBody has further parts.
 		Body []byte
+		// MoreBody holds the parts of a large body that follow Body, in order.
+		MoreBody [][]byte
 		// ServerNode is the name of the backend server's node.
 		ServerNode string
 	}
 )
+
+// BodyBytes returns the size of the whole body of a call.
+func (c *Call) BodyBytes() int64 {
+	return bodyBytes(c.Body, c.MoreBody)
+}
+
+// BodyBytes returns the size of the whole body of a reply.
+func (r *Reply) BodyBytes() int64 {
+	return bodyBytes(r.Body, r.MoreBody)
+}
+
+// ReadPart reads a part of a body until p is full. Unlike io.ReadFull it returns the error of
+// the reader, so that io.EOF always means that the body has ended.
+func ReadPart(r io.Reader, p []byte) (n int, err error) {
+	for n < len(p) && err == nil {
+		var count int
+		count, err = r.Read(p[n:])
+		n += count
+	}
+	if n == len(p) {
+		return n, nil
+	}
+	return n, err
+}
+
+func bodyBytes(first []byte, more [][]byte) (size int64) {
+	size = int64(len(first))
+	for _, part := range more {
+		size += int64(len(part))
+	}
+	return size
+}
--- a/internal/guardian/availability.go
+++ b/internal/guardian/availability.go
@@ -206,7 +206,7 @@
 		return nil, exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the answer bears no seal")
 	}
 	exchanger.StripHopByHop(r.Header)
-	return &exchanger.Reply{Status: r.Status, Header: r.Header, Body: r.Body}, nil
+	return &exchanger.Reply{Status: r.Status, Header: r.Header, Body: r.Body, MoreBody: r.MoreBody}, nil
 }
 
 // buildRequest returns the request that carries the call to the backend server with
@@ -220,6 +220,7 @@
 		Host:      c.Host,
 		Header:    c.Header,
 		Body:      c.Body,
+		MoreBody:  c.MoreBody,
 		AttemptID: c.ID,
 		Overrides: []invoker.Field{
 			{Name: names.AttemptID, Value: c.ID},
--- a/internal/guardian/crashsuspects.go
+++ b/internal/guardian/crashsuspects.go
@@ -195,5 +195,6 @@
 		Method:        c.Method,
 		Path:          c.Target,
 		Body:          c.Body,
+		MoreBody:      c.MoreBody,
 	}
 }
--- a/internal/invoker/conn.go
+++ b/internal/invoker/conn.go
@@ -14,6 +14,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/flamingotack/flamingotack/internal/accountant"
+	"github.com/flamingotack/flamingotack/internal/exchanger"
 )
 
 const (
@@ -32,14 +35,22 @@
 	maxTotalBodyBytes = 48 << 20
 	// bodyChunkBytes is how much of a body is read at once. A body whose known
 	// length is at most this is not counted in the total.
-	bodyChunkBytes  = 64 << 10
-	readBufferBytes = 4 << 10
+	bodyChunkBytes = 64 << 10
+	// maxPartBytes bounds the parts of a larger body, and partShareDivisor determines
+	// their size: the bytes read so far divided by it. At most this share of a body's
+	// memory is unused.
+	maxPartBytes     = 1 << 20
+	partShareDivisor = 8
+	// requestHeadBytes is the usual size of an encoded request line and header.
+	requestHeadBytes = 512
+	readBufferBytes  = 4 << 10
 )
 
 var (
 	errHeadTooLarge    = errors.New("head of the answer is too large")
 	errBodyTooLarge    = errors.New("answer is too large")
 	errTotalTooLarge   = errors.New("answers that are being read are too large together")
+	errMemoryShort     = errors.New("memory of the node is short")
 	errAttemptMismatch = errors.New("answer names another request")
 )
 
@@ -51,6 +62,8 @@
 	// totalBodyBytes counts the body bytes of all responses that are being read, on
 	// all connections.
 	totalBodyBytes *atomic.Int64
+	// holder holds the memory of the response that is being read.
+	holder accountant.Holder
 	// lastUsed is when the last response ended. idleTimeout is how long after that
 	// the connection may be used again.
 	lastUsed    time.Time
@@ -110,14 +123,15 @@
 // roundTrip sends a request and returns its response. idField is the header field that
 // names the attempt in the response.
 func (c *conn) roundTrip(r *Request, idField string) (response *Response, err error) {
-	head := appendRequest(make([]byte, 0, 512+len(r.Body)), r)
 	written := make(chan error, 1)
-	if len(r.Body) <= maxInlineBodyBytes {
+	if len(r.Body) <= maxInlineBodyBytes && len(r.MoreBody) == 0 {
+		head := appendRequest(make([]byte, 0, requestHeadBytes+len(r.Body)), r)
 		_, err := c.socket.Write(append(head, r.Body...))
 		written <- err
 	} else {
+		parts := append(net.Buffers{appendRequest(make([]byte, 0, requestHeadBytes), r), r.Body}, r.MoreBody...)
 		go func() {
-			_, err := c.socket.Write(append(head, r.Body...))
+			_, err := parts.WriteTo(c.socket)
 			written <- err
 		}()
 	}
@@ -182,7 +196,7 @@
 	if httpResponse.ContentLength > maxBodyBytes {
 		return nil, errBodyTooLarge
 	}
-	if response.Body, err = c.readAll(httpResponse); err != nil {
+	if response.Body, response.MoreBody, err = c.readAll(httpResponse); err != nil {
 		return nil, err
 	}
 	c.noReuse = c.noReuse || httpResponse.Close
@@ -193,38 +207,70 @@
 	return response, nil
 }
 
-// readAll reads a body. It allocates memory for a large body only as the data arrives,
-// whatever Content-Length says.
-func (c *conn) readAll(httpResponse *http.Response) (body []byte, err error) {
+// readAll reads a body into parts. It allocates memory for a large body only as the data
+// arrives, whatever Content-Length says, and reserves it first. The reservation ends with the
+// read, as the receiver of the response reserves what it holds.
+func (c *conn) readAll(httpResponse *http.Response) (first []byte, more [][]byte, err error) {
 	length := httpResponse.ContentLength
 	switch {
 	case httpResponse.Body == http.NoBody:
-		return nil, nil
+		return nil, nil, nil
 	case length >= 0 && length <= bodyChunkBytes:
-		body = make([]byte, length)
-		_, err = io.ReadFull(httpResponse.Body, body)
-		return body, err
+		first = make([]byte, length)
+		_, err = io.ReadFull(httpResponse.Body, first)
+		return first, nil, err
 	}
-	readBytes := int64(0)
-	defer func() { c.totalBodyBytes.Add(-readBytes) }()
-	var buffer bytes.Buffer
+	readBytes, reservedBytes := int64(0), int64(0)
+	defer func() {
+		c.totalBodyBytes.Add(-readBytes)
+		c.holder.Release(reservedBytes)
+	}()
 	for {
-		n, err := io.CopyN(&buffer, httpResponse.Body, bodyChunkBytes)
-		readBytes += n
-		total := c.totalBodyBytes.Add(n)
+		size := max(bodyChunkBytes, min(maxPartBytes, readBytes/partShareDivisor))
+		if length >= 0 {
+			// One byte more than the rest finds the end.
+			size = min(size, length-readBytes+1)
+		}
+		if c.holder.Reserve(time.Now(), size) != accountant.Granted {
+			return nil, nil, errMemoryShort
+		}
+		reservedBytes += size
+		part := make([]byte, size)
+		n, err := exchanger.ReadPart(httpResponse.Body, part)
+		part = part[:n]
+		readBytes += int64(n)
+		total := c.totalBodyBytes.Add(int64(n))
+		ended := errors.Is(err, io.EOF)
+		if ended && int64(cap(part)-n) > readBytes/partShareDivisor {
+			part = bytes.Clone(part)
+		}
+		if first == nil {
+			first = part
+		} else if n > 0 {
+			more = append(more, part)
+		}
 		switch {
-		case errors.Is(err, io.EOF):
-			return buffer.Bytes(), nil
+		case ended:
+			return first, more, nil
 		case err != nil:
-			return nil, err
+			return nil, nil, err
 		case readBytes > maxBodyBytes:
-			return nil, errBodyTooLarge
+			return nil, nil, errBodyTooLarge
 		case total > maxTotalBodyBytes:
-			return nil, errTotalTooLarge
+			return nil, nil, errTotalTooLarge
 		}
 	}
 }
 
+// bodyBytes returns the size of the whole body.
+func (r *Request) bodyBytes() (size int64) {
+	size = int64(len(r.Body))
+	for _, part := range r.MoreBody {
+		size += int64(len(part))
+	}
+	return size
+}
+
 // keepAliveSeconds returns how long the server keeps an idle connection, in seconds,
 // from the Keep-Alive header. It returns 0 if there is no timeout parameter.
 func keepAliveSeconds(h http.Header) (seconds int) {
@@ -257,9 +303,9 @@
 			out = appendField(out, f.Name, f.Value)
 		}
 	}
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+	if size := r.bodyBytes(); size > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
 		out = append(out, "Content-Length: "...)
-		out = strconv.AppendInt(out, int64(len(r.Body)), 10)
+		out = strconv.AppendInt(out, size, 10)
 		out = append(out, "\r\n"...)
 	}
 	return append(out, "\r\n"...)
--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/flamingotack/flamingotack/internal/accountant"
 	"github.com/flamingotack/flamingotack/internal/dialer"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 )
@@ -31,8 +32,10 @@
 		Status int
 		// Header holds all header fields.
 		Header http.Header
-		// Body is the whole body.
+		// Body is the whole body, or its first part if MoreBody has further parts.
 		Body []byte
+		// MoreBody holds the parts of a large body that follow Body, in order.
+		MoreBody [][]byte
 	}
 
 	// BrokenConnectionError reports that no valid response was received after a
@@ -55,6 +58,9 @@
 	Invoker struct {
 		// Address is the TCP address of the backend server.
 		Address string
+		// Account bounds the memory of the responses that are being read; nil means no
+		// bound.
+		Account *accountant.Account
 		// HeaderNames are the names of the header fields.
 		HeaderNames exchanger.HeaderNames
 
@@ -75,8 +81,10 @@
 		// Overrides holds fields that replace those of the same name in Header.
 		// A field with an empty value is removed.
 		Overrides []Field
-		// Body is the whole body.
+		// Body is the whole body, or its first part if MoreBody has further parts.
 		Body []byte
+		// MoreBody holds the parts of a large body that follow Body, in order.
+		MoreBody [][]byte
 		// AttemptID is the attempt that the response must name in its header. If it is
 		// empty, any response is accepted, so the request is sent over a new connection,
 		// where no response to an earlier request can arrive.
@@ -169,7 +177,9 @@
 	v.mu.Lock()
 	v.opened++
 	v.mu.Unlock()
-	return newConn(socket, &v.totalBodyBytes), nil
+	c = newConn(socket, &v.totalBodyBytes)
+	v.Account.Register(&c.holder, nil)
+	return c, nil
 }
 
 // release returns a connection to the pool or closes it if it must not be used again.
--- a/internal/linker/convert.go
+++ b/internal/linker/convert.go
@@ -22,7 +22,7 @@
 
 // callFrames returns the frames of a call that is sent at the time now.
 func callFrames(number uint64, c *exchanger.Call, now time.Time) []*framer.Frame {
-	first, rest := splitFrameBody(c.Body)
+	first, rest := splitBody(c.Body, c.MoreBody)
 	head := &framer.Frame{
 		Number: number,
 		More:   len(rest) > 0,
@@ -45,6 +45,7 @@
 			RoutePriority: int32(c.RoutePriority),
 			ChainCustomer: c.ChainCustomer,
 			ChainKnown:    c.ChainKnown,
+			BodyBytes:     c.BodyBytes(),
 		},
 	}
 	return append([]*framer.Frame{head}, dataFrames(number, rest)...)
@@ -52,29 +53,37 @@
 
 // replyFrames returns the frames of a reply.
 func replyFrames(number uint64, r *exchanger.Reply) []*framer.Frame {
-	first, rest := splitFrameBody(r.Body)
+	first, rest := splitBody(r.Body, r.MoreBody)
 	head := &framer.Frame{
 		Number: number,
 		More:   len(rest) > 0,
-		Reply:  &framer.Reply{Status: int32(r.Status), Header: fromHeader(r.Header), Body: first, Server: r.ServerNode},
+		Reply:  &framer.Reply{Status: int32(r.Status), Header: fromHeader(r.Header), Body: first, Server: r.ServerNode, BodyBytes: r.BodyBytes()},
 	}
 	return append([]*framer.Frame{head}, dataFrames(number, rest)...)
 }
 
-// splitFrameBody splits a body after at most maxFrameBodyBytes.
-func splitFrameBody(body []byte) (first, rest []byte) {
-	if len(body) <= maxFrameBodyBytes {
-		return body, nil
+// splitBody splits a body into parts of at most maxFrameBodyBytes, without copying it.
+func splitBody(first []byte, more [][]byte) (head []byte, rest [][]byte) {
+	if len(first) <= maxFrameBodyBytes && len(more) == 0 {
+		return first, nil
 	}
-	return body[:maxFrameBodyBytes], body[maxFrameBodyBytes:]
+	for _, part := range append([][]byte{first}, more...) {
+		for len(part) > 0 {
+			n := min(len(part), maxFrameBodyBytes)
+			rest = append(rest, part[:n])
+			part = part[n:]
+		}
+	}
+	if len(rest) == 0 {
+		return nil, nil
+	}
+	return rest[0], rest[1:]
 }
 
 // dataFrames returns the frames that carry the rest of a body.
-func dataFrames(number uint64, rest []byte) (frames []*framer.Frame) {
-	for len(rest) > 0 {
-		var part []byte
-		part, rest = splitFrameBody(rest)
-		frames = append(frames, &framer.Frame{Number: number, Data: part, More: len(rest) > 0})
+func dataFrames(number uint64, rest [][]byte) (frames []*framer.Frame) {
+	for i, part := range rest {
+		frames = append(frames, &framer.Frame{Number: number, Data: part, More: i < len(rest)-1})
 	}
 	return frames
 }
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -62,6 +62,10 @@
 		done chan result
 		// partialReply is a reply of which more frames follow.
 		partialReply *exchanger.Reply
+		// body accounts for the memory of a reply that comes in several frames.
+		body bodyAssembly
+		// inParts reports whether the request is sent in several frames.
+		inParts bool
 	}
 
 	// result is the outcome of an exchange.
@@ -198,6 +202,7 @@
 		}
 		failed++
 		delete(k.pending, number)
+		e.body.release()
 		refusal := k.silentRefusal()
 		if unsent[number] {
 			refusal = unreachableRefusal(k.member.Name)
@@ -213,6 +218,7 @@
 	defer k.mu.Unlock()
 	if e := k.pending[number]; e != nil {
 		delete(k.pending, number)
+		e.body.release()
 		k.closeRetiredIfIdle(e.session)
 	}
 }
@@ -263,7 +269,7 @@
 
 // send sends a call and waits for its reply until replyMargin after its deadline.
 func (k *link) send(ctx context.Context, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
-	number, e := k.beginExchange(&exchange{idempotent: c.Idempotent})
+	number, e := k.beginExchange(&exchange{idempotent: c.Idempotent, inParts: c.BodyBytes() > maxFrameBodyBytes})
 	if e == nil {
 		return nil, unreachableRefusal(k.member.Name)
 	}
@@ -289,6 +295,9 @@
 	if e.session.withdraw(number) {
 		return nil, unsentRefusal(ctx, k.member.Name)
 	}
+	if e.inParts {
+		e.session.dropData(number)
+	}
 	e.session.enqueue(&framer.Frame{Number: number, Cancel: true})
 	if ctx.Err() != nil {
 		return nil, exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonCanceled, "the request was canceled while it ran")
@@ -349,16 +358,33 @@
 	if e == nil {
 		return
 	}
+	reserved := true
+	now := k.linker.clock.Now()
 	if reply := toReply(f); reply != nil {
 		e.partialReply = reply
+		if f.GetMore() {
+			e.body.release()
+			reserved = e.body.begin(k.linker.account, now, f.GetReply().GetBodyBytes(), int64(len(reply.Body)), 0)
+		}
 	} else if e.partialReply != nil {
-		e.partialReply.Body = append(e.partialReply.Body, f.GetData()...)
+		reserved = e.body.add(now, int64(len(f.GetData())))
+		appendBodyPart(&e.partialReply.Body, &e.partialReply.MoreBody, f.GetData())
 	}
-	if f.GetMore() {
+	if f.GetMore() && reserved {
 		return
 	}
 	delete(k.pending, f.GetNumber())
+	// The receiver of the reply reserves what it holds.
+	e.body.release()
+	if e.inParts {
+		e.session.dropData(f.GetNumber())
+	}
 	k.closeRetiredIfIdle(e.session)
+	if !reserved {
+		k.linker.RefusedForMemory.Add(1)
+		e.done <- result{refusal: exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "memory is short for the answer of node %s", k.member.Name)}
+		return
+	}
 	r := result{reply: e.partialReply, refusal: toRefusal(f), grantedMilliTokens: min(max(0, f.GetGrant()), e.askedMilliTokens)}
 	if r.reply == nil && r.refusal == nil && f.GetGrant() == 0 {
 		r.refusal = exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the answer of node %s has no reply", k.member.Name)
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/flamingotack/flamingotack/internal/accountant"
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/estimator"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
@@ -64,8 +65,10 @@
 	FanOut = estimator.FanOut
 
 	// Handlers supplies what is sent to other nodes and receives their frames. No field
-	// may be nil.
+	// but Account may be nil.
 	Handlers struct {
+		// Account bounds the memory of calls and answers in transit; nil means no bound.
+		Account *accountant.Account
 		// FanOuts returns the fan-outs of the node's backend server by the route of
 		// the runs.
 		FanOuts func() map[string]FanOut
@@ -100,7 +103,11 @@
 	Linker struct {
 		// LostLinks counts the links that broke or went silent.
 		LostLinks atomic.Int64
+		// RefusedForMemory counts the calls and answers that ended because memory was
+		// short.
+		RefusedForMemory atomic.Int64
 
+		account  *accountant.Account
 		clock    timekeeper.Clock
 		handlers Handlers
 		logger   *logger.Logger
@@ -194,6 +201,7 @@
 // New returns a Linker without links.
 func New(self Member, clock timekeeper.Clock, l *logger.Logger, h Handlers) *Linker {
 	return &Linker{
+		account:        h.Account,
 		clock:          clock,
 		handlers:       h,
 		logger:         l,
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -196,7 +196,7 @@
 func TestConcurrentCallsShareLink(t *testing.T) {
 	a, b := startPair(t)
 	b.run = func(_ context.Context, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
-		return &exchanger.Reply{Status: 200, Header: c.Header, Body: c.Body}, nil
+		return &exchanger.Reply{Status: 200, Header: c.Header, Body: c.Body, MoreBody: c.MoreBody}, nil
 	}
 	var sent sync.WaitGroup
 	for _, size := range []int{0, 1, 1000, maxFrameBodyBytes, maxFrameBodyBytes + 1, 3*maxFrameBodyBytes + 5} {
@@ -209,8 +209,9 @@
 				t.Errorf("size %d: got refusal %v, want a reply", size, refusal)
 				return
 			}
-			if !bytes.Equal(reply.Body, c.Body) || reply.Header.Get("X-Size") != fmt.Sprint(size) || reply.ServerNode != "b" {
-				t.Errorf("size %d: got a reply of %d bytes from %s, want the body and header of the call from b", size, len(reply.Body), reply.ServerNode)
+			got := bytes.Join(append([][]byte{reply.Body}, reply.MoreBody...), nil)
+			if !bytes.Equal(got, c.Body) || reply.Header.Get("X-Size") != fmt.Sprint(size) || reply.ServerNode != "b" {
+				t.Errorf("size %d: got a reply of %d bytes from %s, want the body and header of the call from b", size, len(got), reply.ServerNode)
 			}
 		})
 	}
--- a/internal/linker/oddframes_test.go
+++ b/internal/linker/oddframes_test.go
@@ -51,7 +51,7 @@
 	session := a.link("b").current.Load()
 	for name, f := range newOddFrames(b.member) {
 		a.link("b").handleFrame(session, f)
-		r := &inboundSession{server: &meshServer{linker: a.Linker}, session: session, ctx: t.Context(), member: b.member, cancelFuncs: map[uint64]context.CancelFunc{}, partialCalls: map[uint64]*exchanger.Call{}}
+		r := &inboundSession{server: &meshServer{linker: a.Linker}, session: session, ctx: t.Context(), member: b.member, cancelFuncs: map[uint64]context.CancelFunc{}, partialCalls: map[uint64]*inboundCall{}}
 		r.handleFrame(f)
 		r.goroutines.Wait()
 		if got := a.Members(); !slices.Equal(got, before) {
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -11,7 +11,6 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/flamingotack/flamingotack/internal/dialer"
-	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/framer"
 )
 
@@ -45,7 +44,7 @@
 		// cancelFuncs holds the cancel function of each running call by its number, and
 		// partialCalls the calls of which more frames follow.
 		cancelFuncs  map[uint64]context.CancelFunc
-		partialCalls map[uint64]*exchanger.Call
+		partialCalls map[uint64]*inboundCall
 	}
 )
 
@@ -91,12 +90,14 @@
 		session:      s,
 		ctx:          ctx,
 		cancelFuncs:  map[uint64]context.CancelFunc{},
-		partialCalls: map[uint64]*exchanger.Call{},
+		partialCalls: map[uint64]*inboundCall{},
 	}
+	t.linker.account.Register(&s.outgoing, nil)
 	go s.writeFrames()
 	s.readFrames(r.handleFrame)
 	s.close()
 	t.linker.removeInbound(r)
+	r.dropPartialCalls()
 	cancel()
 	r.goroutines.Wait()
 	return nil
@@ -159,24 +160,15 @@
 
 // beginCall collects the frames of a call and starts it once it is whole.
 func (r *inboundSession) beginCall(f *framer.Frame) {
-	number := f.GetNumber()
-	c := r.partialCalls[number]
-	if f.GetRun() != nil {
-		c = toCall(f.GetRun(), r.server.linker.clock.Now())
-	} else if c != nil {
-		c.Body = append(c.Body, f.GetData()...)
-	}
+	c := r.assembleCall(f)
 	if c == nil {
 		return
 	}
-	if f.GetMore() {
-		r.partialCalls[number] = c
-		return
-	}
-	delete(r.partialCalls, number)
+	number := f.GetNumber()
 	ctx, cancel := context.WithDeadline(r.ctx, c.Deadline.Add(replyMargin/2))
 	if !r.registerCall(number, cancel) {
 		cancel()
+		c.body.release()
 		r.server.linker.logger.Warnf("call %s from node %s ignored, a call with number %d runs", c.ID, r.member.Name, number)
 		return
 	}
@@ -197,7 +189,10 @@
 
 // cancelCall ends a call whose caller does not await the answer any more.
 func (r *inboundSession) cancelCall(number uint64) {
-	delete(r.partialCalls, number)
+	if c := r.partialCalls[number]; c != nil {
+		delete(r.partialCalls, number)
+		c.body.release()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if cancel := r.cancelFuncs[number]; cancel != nil {
@@ -206,20 +201,17 @@
 }
 
 // runCall runs a call and sends its reply or refusal, together with the load.
-func (r *inboundSession) runCall(ctx context.Context, number uint64, c *exchanger.Call) {
+func (r *inboundSession) runCall(ctx context.Context, number uint64, c *inboundCall) {
 	l := r.server.linker
 	// The call counts as running until its answer is queued.
 	defer r.endCall(number)
-	reply, refusal := l.handlers.CallHandler.HandleCall(ctx, c)
-	load := fromLoad(l.handlers.Load())
+	reply, refusal := l.handlers.CallHandler.HandleCall(ctx, c.Call)
 	if refusal != nil {
-		r.session.enqueue(&framer.Frame{Number: number, Refusal: fromRefusal(refusal), Load: load})
+		c.body.release()
+		r.session.enqueue(&framer.Frame{Number: number, Refusal: fromRefusal(refusal), Load: fromLoad(l.handlers.Load())})
 		return
 	}
-	reply.ServerNode = l.self.Name
-	frames := replyFrames(number, reply)
-	frames[0].Load = load
-	r.session.enqueue(frames...)
+	r.sendReply(number, c, reply)
 }
 
 // endCall releases what belongs to a call whose answer is queued.
--- a/internal/linker/session.go
+++ b/internal/linker/session.go
@@ -10,16 +10,18 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcwire"
 
+	"github.com/flamingotack/flamingotack/internal/accountant"
 	"github.com/flamingotack/flamingotack/internal/framer"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
 
 const (
 	// maxBatchBytes is the total size of bodies and states at which a batch gets no
-	// further frame.
-	maxBatchBytes = 512 << 10
+	// further frame. Each session keeps buffers for a message on both sides, beside the
+	// memory account.
+	maxBatchBytes = 128 << 10
 	// maxFrameBodyBytes limits the part of a body in one frame.
-	maxFrameBodyBytes = 256 << 10
+	maxFrameBodyBytes = 64 << 10
 	// maxMessageBytes limits the drpc messages that are read.
 	maxMessageBytes = 8 << 20
 )
@@ -47,6 +49,12 @@
 		// sending is set while the frames that were taken from the queue last are being
 		// sent.
 		sending bool
+
+		// outgoing holds the memory of the queued replies, replyBytes by the last frame of
+		// each, and sentReplyBytes the part of it that is being sent.
+		outgoing       accountant.Holder
+		replyBytes     map[*framer.Frame]int64
+		sentReplyBytes int64
 	}
 
 	// batchStream is the drpc stream of a client or of a server.
@@ -78,6 +86,8 @@
 	}
 	if !s.closed {
 		s.closed = true
+		s.outgoing.Release(s.outgoing.HeldBytes())
+		s.replyBytes = nil
 		close(s.wake)
 		s.closeTransport()
 	}
@@ -117,6 +127,30 @@
 func (s *session) enqueue(frames ...*framer.Frame) (open bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.enqueueLocked(frames)
+}
+
+// enqueueReserved queues the frames of a reply, for which the holder has reserved memory. It
+// takes the reservation over until the frames are sent, unless the session is closed.
+func (s *session) enqueueReserved(h *accountant.Holder, bytes int64, frames []*framer.Frame) (open bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.enqueueLocked(frames) {
+		return false
+	}
+	if bytes > 0 {
+		h.Transfer(&s.outgoing, bytes)
+		if s.replyBytes == nil {
+			s.replyBytes = map[*framer.Frame]int64{}
+		}
+		s.replyBytes[frames[len(frames)-1]] = bytes
+	}
+	return true
+}
+
+// enqueueLocked queues frames and reports whether the session is open. The caller holds the
+// lock.
+func (s *session) enqueueLocked(frames []*framer.Frame) (open bool) {
 	if s.closed {
 		return false
 	}
@@ -128,6 +162,14 @@
 	return true
 }
 
+// dropData removes the queued parts of a call that has ended.
+func (s *session) dropData(number uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// A batch that is being sent may share the queue's array, so that is not changed.
+	s.queue = slices.DeleteFunc(slices.Clone(s.queue), func(f *framer.Frame) bool { return f.GetNumber() == number && f.GetData() != nil })
+}
+
 // withdraw removes a call from the queue if it has not been sent yet, and reports whether
 // it did.
 func (s *session) withdraw(number uint64) bool {
@@ -183,11 +225,17 @@
 	if s.closed {
 		return nil
 	}
+	s.outgoing.Release(s.sentReplyBytes)
+	s.sentReplyBytes = 0
 	size, count := 0, 0
 	for count < len(s.queue) && (count == 0 || size < maxBatchBytes) {
 		f := s.queue[count]
 		size += len(f.GetRun().GetBody()) + len(f.GetReply().GetBody()) + len(f.GetData()) + len(f.GetState())
 		count++
+		if replyBytes := s.replyBytes[f]; replyBytes > 0 {
+			s.sentReplyBytes += replyBytes
+			delete(s.replyBytes, f)
+		}
 	}
 	frames = s.queue[:count:count]
 	s.queue = s.queue[count:]
--- a/internal/suspecter/crashtracker.go
+++ b/internal/suspecter/crashtracker.go
@@ -59,8 +59,10 @@
 		Service, Route string
 		// Method, Path and Query are those of the request.
 		Method, Path, Query string
-		// Body is the complete body.
+		// Body is the complete body, or its first part if MoreBody has further parts.
 		Body []byte
+		// MoreBody holds the parts of the body that follow Body, in order.
+		MoreBody [][]byte
 	}
 
 	// Suspect is a request that was in flight when a server crashed.
@@ -103,10 +105,10 @@
 	// Verdict is the decision about a request.
 	Verdict int
 
-	// lostRequest is a request whose connection was lost.
+	// lostRequest is a request whose connection was lost. It does not hold the body.
 	lostRequest struct {
-		identity RequestIdentity
-		lostAt   time.Time
+		digest Digest
+		lostAt time.Time
 	}
 )
 
@@ -120,6 +122,9 @@
 		h.Write([]byte(part))
 	}
 	h.Write(i.Body)
+	for _, part := range i.MoreBody {
+		h.Write(part)
+	}
 	h.Sum(d[:0])
 	return d
 }
@@ -157,7 +162,7 @@
 	expiresAt := now.Add(t.suspicionDuration())
 	seen := map[Digest]bool{}
 	for _, l := range t.lostRequests {
-		d := NewDigest(l.identity)
+		d := l.digest
 		if seen[d] || now.Sub(l.lostAt) > lostConnectionWindow {
 			continue
 		}
@@ -200,7 +205,7 @@
 	}
 	t.lostRequests = slices.DeleteFunc(t.lostRequests, func(l lostRequest) bool { return now.Sub(l.lostAt) > lostConnectionWindow })
 	if len(t.lostRequests) < t.maxSuspects() {
-		t.lostRequests = append(t.lostRequests, lostRequest{identity: i, lostAt: now})
+		t.lostRequests = append(t.lostRequests, lostRequest{digest: NewDigest(i), lostAt: now})
 	}
 }
 
