--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -79,7 +79,8 @@
 		// Account bounds the memory of requests and responses; nil means no bound.
 		Account *accountant.Account
 		// MaxConnections bounds the open connections; 0 means no bound. At the
-		// bound, the connections that have been idle longest are closed.
+		// bound, the connections that have been idle longest are closed or, with an
+		// account, those that have waited longest for their callers.
 		MaxConnections int
 		// Draining reports whether connections close after their pending
 		// responses.
@@ -158,11 +159,19 @@
 		}
 		go c.serve()
 		if s.MaxConnections > 0 && s.OpenConnections() >= s.MaxConnections {
-			s.dropIdleConns()
+			s.makeRoom()
 		}
 	}
 }
 
+// makeRoom closes idle connections or, if there are none, those that have waited longest for
+// their callers without progress.
+func (s *Server) makeRoom() {
+	if s.dropIdleConns() == 0 {
+		s.Account.EvictStalled(time.Now(), max(1, s.OpenConnections()/dropDivisor))
+	}
+}
+
 // handleAcceptError counts and logs a failed accept and waits before the next one. If
 // the process has no free descriptor, it closes idle connections first. Other failures,
 // such as a caller that has already disconnected, need no descriptor.
@@ -171,6 +180,7 @@
 	s.Logger.Warnf("accept failed with %d connections open: %v", s.OpenConnections(), err)
 	noDescriptor := errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
 	if noDescriptor && s.dropIdleConns() == 0 {
+		s.Account.EvictStalled(time.Now(), max(1, s.OpenConnections()/dropDivisor))
 		time.Sleep(noDescriptorDelay)
 	}
 	time.Sleep(acceptRetryDelay)
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -21,7 +21,7 @@
 var (
 	errBodyTooLarge = errors.New("request body too large")
 	errHeadTooLarge = errors.New("request header too large")
-	errEvicted      = errors.New("evicted, as memory is short and no data has arrived for long")
+	errEvicted      = errors.New("memory or connections are short, and the caller has made no progress for long")
 	errMemoryShort  = errors.New("memory is short")
 )
 
@@ -69,6 +69,8 @@
 		response *Response
 		// head says that the request's method is HEAD.
 		head bool
+		// refused says that the request was refused while it was read.
+		refused bool
 		// reservedBytes is the memory that is reserved for the request or its response.
 		reservedBytes int64
 		// started says that the request is running or has run.
@@ -138,6 +140,13 @@
 	count -= len(c.queue)
 	c.server.pending.Add(-int64(count))
 	c.server.AbandonedRequests.Add(int64(count))
+	if c.writing {
+		return
+	}
+	// Responses behind the removed requests are written by nobody.
+	if _, count := c.readyResponses(false); count > 0 {
+		c.dequeue(count)
+	}
 }
 
 // startQueued runs the queued requests. It is called when a read would block. The end of
@@ -243,7 +252,7 @@
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
 		return false
 	}
-	e := &exchange{closeAfter: true}
+	e := &exchange{closeAfter: true, refused: true}
 	if c.enqueue(e) {
 		c.complete(e, &Response{Status: status, Header: header})
 	}
--- a/internal/acceptor/memory.go
+++ b/internal/acceptor/memory.go
@@ -112,6 +112,9 @@
 // If memory is short, it closes the connection, as the request may have run, and returns a
 // response without a body.
 func (c *conn) reserveResponse(e *exchange, r *Response) *Response {
+	if e.refused {
+		return r
+	}
 	size := r.heldBytes()
 	change := size - e.reservedBytes
 	if change <= 0 {
--- a/internal/acceptor/memory_test.go
+++ b/internal/acceptor/memory_test.go
@@ -183,6 +183,62 @@
 	}
 }
 
+// TestVictimIsToldToRetry guards against callers that learn nothing when their body is given
+// up: the request has not run, so they get 503 with Retry-After.
+func TestVictimIsToldToRetry(t *testing.T) {
+	s, dial := newAccountServer(t, 8<<20, answerOK)
+	victim := dial()
+	go fmt.Fprintf(victim, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", 4<<20, strings.Repeat("x", 3<<20))
+	waitFor(t, func() bool { return s.Account.UsedBytes() >= 3<<20 })
+	waitFor(t, func() bool {
+		c := dial()
+		fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", 4<<20, strings.Repeat("x", 4<<20))
+		got, _ := readResponse(t, bufio.NewReader(c), http.MethodPost)
+		return got == http.StatusOK && s.Account.Evictions() > 0
+	})
+	response, err := http.ReadResponse(bufio.NewReader(victim), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+		t.Errorf("got status %d, header %v, want 503 with Retry-After", response.StatusCode, response.Header)
+	}
+}
+
+// TestStalledCallersMakeRoom guards against callers that keep others out by holding all
+// connections with requests that never end.
+func TestStalledCallersMakeRoom(t *testing.T) {
+	const connections = 20
+	s, dial := newConfiguredServer(t, func(s *Server) {
+		s.MaxConnections, s.Account = connections, accountant.New(64<<20)
+		s.Limits = func() Limits {
+			return Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 4 << 20, HeaderTimeout: 20 * time.Second, IdleTimeout: 20 * time.Second}
+		}
+	}, answerOK)
+	for range connections {
+		fmt.Fprint(dial(), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nx")
+	}
+	waitFor(t, func() bool {
+		fmt.Fprint(dial(), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nx")
+		return s.Account.Evictions() > 0
+	})
+}
+
+// TestRefusalBehindAbandonedRequest guards against requests that count as pending and memory
+// that stays reserved after the caller has sent a request, then one that can't be read, and
+// has disconnected before the first one started.
+func TestRefusalBehindAbandonedRequest(t *testing.T) {
+	s, dial := newAccountServer(t, 8<<20, answerOK)
+	for range 100 {
+		c := dial()
+		fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\nno field\r\n\r\n")
+		c.Close()
+	}
+	waitFor(t, func() bool { return s.OpenConnections() == 0 })
+	waitFor(t, func() bool { return s.PendingRequests() == 0 && s.Account.UsedBytes() == 0 })
+}
+
 // TestAnnouncedBodyCostsLittle guards against callers that announce large bodies and send
 // nothing.
 func TestAnnouncedBodyCostsLittle(t *testing.T) {
--- a/internal/accountant/account.go
+++ b/internal/accountant/account.go
@@ -72,6 +72,13 @@
 
 	// Result is the result of a reservation.
 	Result int
+
+	// stalledHolder is a holder that may be evicted, as a search has found it.
+	stalledHolder struct {
+		holder *Holder
+		// progressAt is in nanoseconds since 1970.
+		progressAt, bytes int64
+	}
 )
 
 // New returns an account of the given size in bytes.
@@ -197,6 +204,27 @@
 	}
 }
 
+// EvictStalled evicts up to count holders, those that have waited longest without progress, and
+// returns their number. A nil Account evicts none.
+func (a *Account) EvictStalled(now time.Time, count int) (evicted int) {
+	if a == nil {
+		return 0
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if now.Sub(a.scannedAt) < minScanInterval {
+		return 0
+	}
+	for _, s := range a.scan(now) {
+		if evicted == count {
+			break
+		}
+		a.evict(s)
+		evicted++
+	}
+	return evicted
+}
+
 // evictStalled evicts the holders that have waited longest without progress, until those
 // evicted hold the needed bytes. It reports whether evicted holders are about to release
 // bytes.
@@ -206,8 +234,24 @@
 	if now.Sub(a.scannedAt) < minScanInterval {
 		return a.evictingBytes > 0
 	}
+	stalled := a.scan(now)
+	if a.evictingBytes >= neededBytes {
+		return true
+	}
+	neededBytes += a.sizeBytes / evictionReserveDivisor
+	for _, s := range stalled {
+		if a.evictingBytes >= neededBytes {
+			break
+		}
+		a.evict(s)
+	}
+	return a.evictingBytes > 0
+}
+
+// scan returns the holders that may be evicted, the longest without progress first, and sets
+// evictingBytes. The caller holds the lock.
+func (a *Account) scan(now time.Time) (stalled []stalledHolder) {
 	a.scannedAt, a.evictingBytes = now, 0
-	var stalled []stalledHolder
 	for h := range a.holders {
 		progressAt, bytes := h.progressAt.Load(), h.heldBytes.Load()
 		switch {
@@ -218,26 +262,14 @@
 			stalled = append(stalled, stalledHolder{holder: h, progressAt: progressAt, bytes: bytes})
 		}
 	}
-	if a.evictingBytes >= neededBytes {
-		return true
-	}
 	slices.SortFunc(stalled, func(x, y stalledHolder) int { return cmp.Compare(x.progressAt, y.progressAt) })
-	neededBytes += a.sizeBytes / evictionReserveDivisor
-	for _, s := range stalled {
-		if a.evictingBytes >= neededBytes {
-			break
-		}
-		s.holder.evicted.Store(true)
-		s.holder.evict()
-		a.evictions.Add(1)
-		a.evictingBytes += s.bytes
-	}
-	return a.evictingBytes > 0
+	return stalled
 }
 
-// stalledHolder is a holder that may be evicted, as the search has found it.
-type stalledHolder struct {
-	holder     *Holder
-	progressAt int64
-	bytes      int64
+// evict evicts a holder. The caller holds the lock.
+func (a *Account) evict(s stalledHolder) {
+	s.holder.evicted.Store(true)
+	s.holder.evict()
+	a.evictions.Add(1)
+	a.evictingBytes += s.bytes
 }
--- a/internal/accountant/size.go
+++ b/internal/accountant/size.go
@@ -1,7 +1,5 @@
 package accountant
 
-import "math"
-
 const (
 	// DefaultSizeBytes is the size of the account where the memory of the instance is not
 	// known.
@@ -39,10 +37,7 @@
 }
 
 // RuntimeLimitBytes returns the memory limit of the Go runtime on an instance with the given
-// memory in bytes; 0 if that is not known, which means no limit.
+// memory in bytes.
 func RuntimeLimitBytes(instanceBytes int64) int64 {
-	if instanceBytes <= 0 {
-		return math.MaxInt64
-	}
 	return int64(runtimeLimitShare * float64(instanceBytes))
 }
--- a/internal/linker/assembly.go
+++ b/internal/linker/assembly.go
@@ -99,7 +99,7 @@
 	l, number := r.server.linker, f.GetNumber()
 	c := r.partialCalls[number]
 	now := l.clock.Now()
-	reserved := true
+	var reserved bool
 	switch m := f.GetRun(); {
 	case m != nil:
 		if c != nil {
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/flamingotack/flamingotack/internal/accountant"
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/guardian"
@@ -77,6 +78,7 @@
 		receivedFanOuts: map[string]map[string]FanOut{},
 	}
 	n.Linker = New(n.member, timekeeper.SystemClock{}, logger.New(t.Output(), "info", m.Name), Handlers{
+		Account:            accountant.New(accountBytes),
 		FanOuts:            func() map[string]FanOut { return map[string]FanOut{"r": {Runs: 50, Calls: map[string]float64{"q": 2}}} },
 		DirectoryReachable: n.getDirectoryReachable,
 		GrantTokens:        func(_ context.Context, _ string, milliTokens int64, _ bool) int64 { return milliTokens / 2 },
