Keep reads of a refused head from going on, and accept no connection beyond the node's sockets

Cause: a bufio.Reader drops an error if part of a line is in its buffer, so a head whose reservation was refused within a line lost bytes and was parsed on. Found by TestHeadsOfManyLinesAreBounded, which failed in about 1 of 20 runs. On an instance of 184 MB the crowd of heads opened more than 500 descriptors, as its memory sufficed and only idle connections were closed.

Change: the error of a reservation stays until the rest of the connection is discarded. A node accepts no connection while callers have all its sockets; new connections get 100 ms to send before they count as idle.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -33,6 +33,8 @@
 	// added to it if there is no free descriptor and no idle connection to close.
 	acceptRetryDelay  = time.Millisecond
 	noDescriptorDelay = 20 * time.Millisecond
+	// roomCheckInterval is how often a server at its bound on sockets checks for room.
+	roomCheckInterval = 5 * time.Millisecond
 )
 
 type (
@@ -82,6 +84,10 @@
 		// bound, the connections that have been idle longest are closed or, with an
 		// account, those that have waited longest for their callers.
 		MaxConnections int
+		// MaxSockets bounds the connections together with those that are only read until
+		// they close; 0 means no bound. At the bound none is accepted, so that the process
+		// keeps descriptors for its backend server and the other nodes.
+		MaxSockets int
 		// Draining reports whether connections close after their pending
 		// responses.
 		Draining func() bool
@@ -144,6 +150,7 @@
 // returns nil.
 func (s *Server) Serve(l net.Listener) error {
 	for {
+		s.awaitRoom()
 		socket, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
@@ -164,10 +171,30 @@
 	}
 }
 
+// awaitRoom waits until the server has fewer than MaxSockets connections.
+func (s *Server) awaitRoom() {
+	for s.MaxSockets > 0 && s.atMaxSockets() {
+		s.makeRoom()
+		time.Sleep(roomCheckInterval)
+	}
+}
+
+// atMaxSockets reports whether the server is open and has as many connections as it may have.
+func (s *Server) atMaxSockets() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.closed && len(s.conns)+len(s.closingConns) >= s.MaxSockets
+}
+
 // makeRoom closes idle connections or, if there are none, those that have waited longest for
-// their callers without progress.
+// their callers without progress. With a bound on sockets, new connections get the time to
+// send their first request.
 func (s *Server) makeRoom() {
-	if s.dropIdleConns() == 0 {
+	minIdleTime := time.Duration(0)
+	if s.MaxSockets > 0 {
+		minIdleTime = firstRequestTimeout
+	}
+	if s.dropIdleConns(minIdleTime) == 0 {
 		s.Account.EvictStalled(time.Now(), max(1, s.OpenConnections()/dropDivisor))
 	}
 }
@@ -179,7 +206,7 @@
 	s.AcceptFailures.Add(1)
 	s.Logger.Warnf("accept failed with %d connections open: %v", s.OpenConnections(), err)
 	noDescriptor := errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
-	if noDescriptor && s.dropIdleConns() == 0 {
+	if noDescriptor && s.dropIdleConns(0) == 0 {
 		s.Account.EvictStalled(time.Now(), max(1, s.OpenConnections()/dropDivisor))
 		time.Sleep(noDescriptorDelay)
 	}
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -364,6 +364,7 @@
 		c.setIdleDeadline()
 	}
 	c.mu.Unlock()
+	c.socketReader.resume()
 	buffer := make([]byte, readBufferBytes)
 	for {
 		c.socketReader.remainingBytes = readBufferBytes
--- a/internal/acceptor/idleconns.go
+++ b/internal/acceptor/idleconns.go
@@ -21,17 +21,20 @@
 	since time.Time
 }
 
-// dropIdleConns closes the connections that have been idle longest and returns their
-// number. Their callers either use a new connection for each request or are the least
+// dropIdleConns closes the connections that have been idle longest, and for minIdleTime at
+// least, and returns their number. Their callers either use a new connection for each request or are the least
 // likely to send another request soon.
-func (s *Server) dropIdleConns() (dropped int) {
+func (s *Server) dropIdleConns(minIdleTime time.Duration) (dropped int) {
 	idle := s.idleConns()
 	count := min(len(idle), max(1, s.OpenConnections()/dropDivisor))
 	for _, r := range idle[:count] {
-		if s.closeIfIdle(r.conn) {
+		if time.Since(r.since) >= minIdleTime && s.closeIfIdle(r.conn) {
 			dropped++
 		}
 	}
+	if dropped == 0 {
+		return 0
+	}
 	s.DroppedConnections.Add(int64(dropped))
 	s.Logger.Infof("closed %d of %d idle connections to make room", dropped, len(idle))
 	return dropped
--- a/internal/acceptor/memory_test.go
+++ b/internal/acceptor/memory_test.go
@@ -163,11 +163,18 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			s, dial := newAccountServer(t, 16<<20, answerOK)
-			for range tt.callers {
+			stall := func() {
 				c := dial()
 				go func() { _, _ = io.WriteString(c, tt.request) }()
 			}
+			for range tt.callers {
+				stall()
+			}
 			waitFor(t, func() bool { return s.Account.Refusals() > 0 })
+			// Those that were refused while others still sent leave room for more.
+			for deadline := time.Now().Add(20 * time.Second); s.Account.Evictions() == 0 && time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+				stall()
+			}
 			post := func(body int) int {
 				c := dial()
 				go fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", body, strings.Repeat("y", body))
@@ -211,18 +218,38 @@
 func TestStalledCallersMakeRoom(t *testing.T) {
 	const connections = 20
 	s, dial := newConfiguredServer(t, func(s *Server) {
-		s.MaxConnections, s.Account = connections, accountant.New(64<<20)
+		s.MaxConnections, s.MaxSockets, s.Account = connections, 2*connections, accountant.New(64<<20)
 		s.Limits = func() Limits {
 			return Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 4 << 20, HeaderTimeout: 20 * time.Second, IdleTimeout: 20 * time.Second}
 		}
 	}, answerOK)
-	for range connections {
+	most := make(chan int, 1)
+	done := make(chan struct{})
+	go func() {
+		highest := 0
+		for {
+			select {
+			case <-done:
+				most <- highest
+				return
+			default:
+				highest = max(highest, s.OpenConnections())
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	for range 5 * connections {
 		fmt.Fprint(dial(), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nx")
 	}
-	waitFor(t, func() bool {
-		fmt.Fprint(dial(), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nx")
-		return s.Account.Evictions() > 0
-	})
+	c := dial()
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	if got, _ := readResponse(t, bufio.NewReader(c), http.MethodGet); got != http.StatusOK {
+		t.Errorf("got status %d behind stalled callers, want 200", got)
+	}
+	close(done)
+	if got := <-most; got > 2*connections || s.Account.Evictions() == 0 {
+		t.Errorf("got %d connections and %d evictions, want at most %d and some", got, s.Account.Evictions(), 2*connections)
+	}
 }
 
 // TestRefusalBehindAbandonedRequest guards against requests that count as pending and memory
@@ -390,3 +417,31 @@
 		}
 	}
 }
+
+// TestHeadIsNotReadOnAfterRefusal guards against heads that lose the bytes of which the
+// reservation was refused, within a line, and are parsed on.
+func TestHeadIsNotReadOnAfterRefusal(t *testing.T) {
+	calls := 0
+	server, client := net.Pipe()
+	defer server.Close()
+	go func() {
+		defer client.Close()
+		_, _ = io.WriteString(client, "GET / HTTP/1.1\r\nHost: a\r\nX: begin")
+		_, _ = io.WriteString(client, "lost")
+		_, _ = io.WriteString(client, "end\r\n\r\n")
+	}()
+	sr := newSocketReader(server)
+	sr.remainingBytes = 1 << 10
+	sr.onData = func([]byte) error {
+		if calls++; calls == 2 {
+			return errMemoryShort
+		}
+		return nil
+	}
+	if r, err := http.ReadRequest(bufio.NewReader(sr)); err == nil {
+		t.Errorf("got a request with X: %q, want an error", r.Header.Get("X"))
+	}
+	if calls != 2 {
+		t.Errorf("got %d reads, want none after the second one failed", calls)
+	}
+}
--- a/internal/acceptor/socketreader.go
+++ b/internal/acceptor/socketreader.go
@@ -13,9 +13,11 @@
 	remainingBytes int64
 	// onBlock is called when a read has to wait for data.
 	onBlock func()
-	// onData is called with the bytes that were read. Its error ends the read. It may be
-	// nil.
-	onData func([]byte) error
+	// onData is called with the bytes that were read. It may be nil. Its error ends the
+	// read and all later ones until resume is called, as a bufio.Reader passes an error
+	// on only once, and not at all if part of a line is in its buffer.
+	onData    func([]byte) error
+	onDataErr error
 
 	socket net.Conn
 	// raw is nil if the connection is not a socket of the operating system.
@@ -34,19 +36,27 @@
 
 // Read reads once. It returns errHeadTooLarge if no bytes remain.
 func (sr *socketReader) Read(p []byte) (n int, err error) {
+	if sr.onDataErr != nil {
+		return 0, sr.onDataErr
+	}
 	if sr.remainingBytes <= 0 {
 		return 0, errHeadTooLarge
 	}
 	n, err = sr.read(p)
 	sr.remainingBytes -= int64(n)
 	if n > 0 && sr.onData != nil {
-		if err := sr.onData(p[:n]); err != nil {
-			return 0, err
+		if sr.onDataErr = sr.onData(p[:n]); sr.onDataErr != nil {
+			return 0, sr.onDataErr
 		}
 	}
 	return n, err
 }
 
+// resume lets reads go on after an error of onData.
+func (sr *socketReader) resume() {
+	sr.onDataErr = nil
+}
+
 // read reads once. It uses the raw socket because net.Conn does not report when a read
 // has to wait.
 func (sr *socketReader) read(p []byte) (n int, err error) {
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -299,6 +299,7 @@
 	n.acceptor = &acceptor.Server{
 		Account:        n.account,
 		MaxConnections: int(callerSocketShare * float64(s.MaxSockets)),
+		MaxSockets:     s.MaxSockets,
 		Draining:       n.stopping.Load,
 		Handle:         n.admitter.Handle,
 		Limits:         n.limits,
