--- a/internal/invoker/conn.go
+++ b/internal/invoker/conn.go
@@ -2,9 +2,7 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,7 +14,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/flamingotack/flamingotack/internal/accountant"
-	"github.com/flamingotack/flamingotack/internal/exchanger"
 )
 
 const (
@@ -174,94 +171,6 @@
 	return nil, errAttemptMismatch
 }
 
-// readResponse reads one response and skips provisional (1xx) ones.
-func (c *conn) readResponse(method string) (response *Response, err error) {
-	c.headReader.remainingBytes = maxHeadBytes
-	for {
-		httpResponse, err := http.ReadResponse(c.reader, &http.Request{Method: method}) //nolint:bodyclose // Close would read to the end of the body, which may never come.
-		if err != nil {
-			return nil, err
-		}
-		if httpResponse.StatusCode < http.StatusOK {
-			continue
-		}
-		return c.readBody(httpResponse)
-	}
-}
-
-// readBody reads the body of a response and sets how long the connection may be reused.
-func (c *conn) readBody(httpResponse *http.Response) (response *Response, err error) {
-	c.headReader.remainingBytes = math.MaxInt64
-	response = &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header}
-	if httpResponse.ContentLength > maxBodyBytes {
-		return nil, errBodyTooLarge
-	}
-	if response.Body, response.MoreBody, err = c.readAll(httpResponse); err != nil {
-		return nil, err
-	}
-	c.noReuse = c.noReuse || httpResponse.Close
-	c.idleTimeout = defaultIdleTimeout
-	if seconds := keepAliveSeconds(httpResponse.Header); seconds > 0 {
-		c.idleTimeout = time.Duration(idleTimeoutFraction * float64(seconds) * float64(time.Second))
-	}
-	return response, nil
-}
-
-// readAll reads a body into parts. It allocates memory for a large body only as the data
-// arrives, whatever Content-Length says, and reserves it first. The reservation ends with the
-// read, as the receiver of the response reserves what it holds.
-func (c *conn) readAll(httpResponse *http.Response) (first []byte, more [][]byte, err error) {
-	length := httpResponse.ContentLength
-	switch {
-	case httpResponse.Body == http.NoBody:
-		return nil, nil, nil
-	case length >= 0 && length <= bodyChunkBytes:
-		first = make([]byte, length)
-		_, err = io.ReadFull(httpResponse.Body, first)
-		return first, nil, err
-	}
-	readBytes, reservedBytes := int64(0), int64(0)
-	defer func() {
-		c.totalBodyBytes.Add(-readBytes)
-		c.holder.Release(reservedBytes)
-	}()
-	for {
-		size := max(bodyChunkBytes, min(maxPartBytes, readBytes/partShareDivisor))
-		if length >= 0 {
-			// One byte more than the rest finds the end.
-			size = min(size, length-readBytes+1)
-		}
-		if c.holder.Reserve(time.Now(), size) != accountant.Granted {
-			return nil, nil, errMemoryShort
-		}
-		reservedBytes += size
-		part := make([]byte, size)
-		n, err := exchanger.ReadPart(httpResponse.Body, part)
-		part = part[:n]
-		readBytes += int64(n)
-		total := c.totalBodyBytes.Add(int64(n))
-		ended := errors.Is(err, io.EOF)
-		if ended && int64(cap(part)-n) > readBytes/partShareDivisor {
-			part = bytes.Clone(part)
-		}
-		if first == nil {
-			first = part
-		} else if n > 0 {
-			more = append(more, part)
-		}
-		switch {
-		case ended:
-			return first, more, nil
-		case err != nil:
-			return nil, nil, err
-		case readBytes > maxBodyBytes:
-			return nil, nil, errBodyTooLarge
-		case total > maxTotalBodyBytes:
-			return nil, nil, errTotalTooLarge
-		}
-	}
-}
-
 // bodyBytes returns the size of the whole body.
 func (r *Request) bodyBytes() (size int64) {
 	size = int64(len(r.Body))
--- a/internal/linker/convert.go
+++ b/internal/linker/convert.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
@@ -13,13 +15,6 @@
 	"github.com/flamingotack/flamingotack/internal/validator"
 )
 
-// maxRefusalStatus and maxReplyStatus are the highest HTTP status codes of a refusal and of
-// a backend server's answer.
-const (
-	maxRefusalStatus = 599
-	maxReplyStatus   = 999
-)
-
 // callFrames returns the frames of a call that is sent at the time now.
 func callFrames(number uint64, c *exchanger.Call, now time.Time) []*framer.Frame {
 	first, rest := splitBody(c.Body, c.MoreBody)
@@ -48,6 +43,7 @@
 			BodyBytes:     c.BodyBytes(),
 		},
 	}
+	moveOddText(head.Run)
 	return append([]*framer.Frame{head}, dataFrames(number, rest)...)
 }
 
@@ -96,14 +92,6 @@
 	return m
 }
 
-func fromHeader(h http.Header) []*framer.Field {
-	fields := make([]*framer.Field, 0, len(h))
-	for name, values := range h {
-		fields = append(fields, &framer.Field{Name: name, Values: values})
-	}
-	return fields
-}
-
 func fromLoad(l guardian.LoadReport) *framer.Load {
 	return &framer.Load{
 		Sequence:      l.Sequence,
@@ -129,13 +117,13 @@
 		Status:      int32(r.Status),
 		Ran:         r.Ran != exchanger.RanNo,
 		Reason:      string(r.Reason),
-		Detail:      r.Detail,
+		Detail:      strings.ToValidUTF8(r.Detail, string(utf8.RuneError)),
 		RetryMicros: r.RetryAfter.Microseconds(),
 	}
 }
 
 func toCall(m *framer.Run, now time.Time) *exchanger.Call {
-	return &exchanger.Call{
+	c := &exchanger.Call{
 		ID:                m.GetId(),
 		Service:           m.GetService(),
 		Route:             m.GetRoute(),
@@ -155,6 +143,8 @@
 		Idempotent:        m.GetRepeatable(),
 		RefusedByFullNode: m.GetMoved(),
 	}
+	restoreOddText(c, m.GetHeader())
+	return c
 }
 
 func toFanOuts(list []*framer.Fans) map[string]FanOut {
@@ -173,14 +163,6 @@
 	return fanOuts
 }
 
-func toHeader(fields []*framer.Field) http.Header {
-	h := make(http.Header, len(fields))
-	for _, f := range fields {
-		h[f.GetName()] = f.GetValues()
-	}
-	return h
-}
-
 // toLoad returns an error if a number is out of range.
 func toLoad(m *framer.Load) (report guardian.LoadReport, err error) {
 	for _, value := range []float64{
@@ -223,14 +205,14 @@
 // reply whose status is not that of a whole answer, become a refusal of a call that may have
 // run.
 func toRefusal(f *framer.Frame) *exchanger.Refusal {
-	if r := f.GetReply(); r != nil && !isReplyStatus(r.GetStatus()) {
+	if r := f.GetReply(); r != nil && !exchanger.IsAnswerStatus(int(r.GetStatus())) {
 		return exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the reply has status %d", r.GetStatus())
 	}
 	m := f.GetRefusal()
 	if m == nil {
 		return nil
 	}
-	if m.GetStatus() < http.StatusBadRequest || m.GetStatus() > maxRefusalStatus {
+	if m.GetStatus() < http.StatusBadRequest || !exchanger.IsAnswerStatus(int(m.GetStatus())) {
 		return exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the refusal has status %d", m.GetStatus())
 	}
 	ran := exchanger.RanNo
@@ -249,13 +231,8 @@
 // toReply returns nil for a frame without a valid reply.
 func toReply(f *framer.Frame) *exchanger.Reply {
 	m := f.GetReply()
-	if m == nil || !isReplyStatus(m.GetStatus()) {
+	if m == nil || !exchanger.IsAnswerStatus(int(m.GetStatus())) {
 		return nil
 	}
 	return &exchanger.Reply{Status: int(m.GetStatus()), Header: toHeader(m.GetHeader()), Body: m.GetBody(), ServerNode: m.GetServer()}
 }
-
-// isReplyStatus reports whether an HTTP status code is that of a whole answer.
-func isReplyStatus(status int32) bool {
-	return status >= http.StatusOK && status <= maxReplyStatus
-}
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/flamingotack/flamingotack/internal/dialer"
+	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/framer"
 )
 
@@ -93,6 +95,7 @@
 		partialCalls: map[uint64]*inboundCall{},
 	}
 	t.linker.account.Register(&s.outgoing, nil)
+	s.handleUnsent = r.refuseUnsent
 	go s.writeFrames()
 	s.readFrames(r.handleFrame)
 	s.close()
@@ -214,6 +217,16 @@
 	r.sendReply(number, c, reply)
 }
 
+// refuseUnsent answers a call whose answer can't be encoded. The call may have run.
+func (r *inboundSession) refuseUnsent(f *framer.Frame, err error) {
+	r.server.linker.logger.Warnf("message %d to a node that has connected not sent: %v", f.GetNumber(), err)
+	if f.GetReply() == nil && f.GetRefusal() == nil {
+		return
+	}
+	refusal := exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the answer can't be sent: %v", err)
+	r.session.enqueue(&framer.Frame{Number: f.GetNumber(), Refusal: fromRefusal(refusal)})
+}
+
 // endCall releases what belongs to a call whose answer is queued.
 func (r *inboundSession) endCall(number uint64) {
 	r.mu.Lock()
