--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/flamingotack/flamingotack/internal/accountant"
 	"github.com/flamingotack/flamingotack/internal/logger"
 )
 
@@ -32,6 +33,8 @@
 	// added to it if there is no free descriptor and no idle connection to close.
 	acceptRetryDelay  = time.Millisecond
 	noDescriptorDelay = 20 * time.Millisecond
+	// roomCheckInterval is how often a server at its bound on sockets checks for room.
+	roomCheckInterval = 5 * time.Millisecond
 )
 
 type (
@@ -51,8 +54,10 @@
 	// Request is an HTTP request whose body has been read.
 	Request struct {
 		*http.Request
-		// Content is the whole body.
+		// Content is the body, or its first part if MoreContent has further parts.
 		Content []byte
+		// MoreContent holds the parts of a large body that follow Content, in order.
+		MoreContent [][]byte
 		// ArrivedAt is when the header was read.
 		ArrivedAt time.Time
 	}
@@ -63,16 +68,26 @@
 		Status int
 		// Header holds the end-to-end header fields.
 		Header http.Header
-		// Body is the whole body. It is not sent in response to a HEAD request.
+		// Body is the body, or its first part if MoreBody has further parts. It is not
+		// sent in response to a HEAD request.
 		Body []byte
+		// MoreBody holds the parts that follow Body, in order.
+		MoreBody [][]byte
 	}
 
 	// Server serves connections. The exported fields must be set before use and
 	// must not be nil. It is safe for concurrent use.
 	Server struct {
+		// Account bounds the memory of requests and responses; nil means no bound.
+		Account *accountant.Account
 		// MaxConnections bounds the open connections; 0 means no bound. At the
-		// bound, the connections that have been idle longest are closed.
+		// bound, the connections that have been idle longest are closed or, with an
+		// account, those that have waited longest for their callers.
 		MaxConnections int
+		// MaxSockets bounds the connections together with those that are only read until
+		// they close; 0 means no bound. At the bound none is accepted, so that the process
+		// keeps descriptors for its backend server and the other nodes.
+		MaxSockets int
 		// Draining reports whether connections close after their pending
 		// responses.
 		Draining func() bool
@@ -89,11 +104,17 @@
 		// AbandonedRequests counts the requests that were read but not started
 		// because their callers had disconnected.
 		AbandonedRequests atomic.Int64
+		// MemoryRefusals counts the requests that were refused, and UnreadResponses the
+		// connections that were closed with responses to send, because memory was short.
+		MemoryRefusals, UnreadResponses atomic.Int64
 
-		pending atomic.Int64
-		mu      sync.Mutex
-		closed  bool
-		conns   map[*conn]struct{}
+		// closedLoggedAt is when a connection that was closed for lack of memory was
+		// last logged, in nanoseconds since 1970.
+		closedLoggedAt atomic.Int64
+		pending        atomic.Int64
+		mu             sync.Mutex
+		closed         bool
+		conns          map[*conn]struct{}
 		// closingConns are the connections that were closed while idle and are
 		// still read for their linger timeout.
 		closingConns map[*conn]struct{}
@@ -129,6 +150,7 @@
 // returns nil.
 func (s *Server) Serve(l net.Listener) error {
 	for {
+		s.awaitRoom()
 		socket, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
@@ -144,11 +166,39 @@
 		}
 		go c.serve()
 		if s.MaxConnections > 0 && s.OpenConnections() >= s.MaxConnections {
-			s.dropIdleConns()
+			s.makeRoom()
 		}
 	}
 }
 
+// awaitRoom waits until the server has fewer than MaxSockets connections.
+func (s *Server) awaitRoom() {
+	for s.MaxSockets > 0 && s.atMaxSockets() {
+		s.makeRoom()
+		time.Sleep(roomCheckInterval)
+	}
+}
+
+// atMaxSockets reports whether the server is open and has as many connections as it may have.
+func (s *Server) atMaxSockets() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.closed && len(s.conns)+len(s.closingConns) >= s.MaxSockets
+}
+
+// makeRoom closes idle connections or, if there are none, those that have waited longest for
+// their callers without progress. With a bound on sockets, new connections get the time to
+// send their first request.
+func (s *Server) makeRoom() {
+	minIdleTime := time.Duration(0)
+	if s.MaxSockets > 0 {
+		minIdleTime = firstRequestTimeout
+	}
+	if s.dropIdleConns(minIdleTime) == 0 {
+		s.Account.EvictStalled(time.Now(), max(1, s.OpenConnections()/dropDivisor))
+	}
+}
+
 // handleAcceptError counts and logs a failed accept and waits before the next one. If
 // the process has no free descriptor, it closes idle connections first. Other failures,
 // such as a caller that has already disconnected, need no descriptor.
@@ -156,7 +206,8 @@
 	s.AcceptFailures.Add(1)
 	s.Logger.Warnf("accept failed with %d connections open: %v", s.OpenConnections(), err)
 	noDescriptor := errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
-	if noDescriptor && s.dropIdleConns() == 0 {
+	if noDescriptor && s.dropIdleConns(0) == 0 {
+		s.Account.EvictStalled(time.Now(), max(1, s.OpenConnections()/dropDivisor))
 		time.Sleep(noDescriptorDelay)
 	}
 	time.Sleep(acceptRetryDelay)
--- a/internal/invoker/conn.go
+++ b/internal/invoker/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/flamingotack/flamingotack/internal/accountant"
 )
 
 const (
@@ -30,14 +32,22 @@
 	maxTotalBodyBytes = 48 << 20
 	// bodyChunkBytes is how much of a body is read at once. A body whose known
 	// length is at most this is not counted in the total.
-	bodyChunkBytes  = 64 << 10
-	readBufferBytes = 4 << 10
+	bodyChunkBytes = 64 << 10
+	// maxPartBytes bounds the parts of a larger body, and partShareDivisor determines
+	// their size: the bytes read so far divided by it. At most this share of a body's
+	// memory is unused.
+	maxPartBytes     = 1 << 20
+	partShareDivisor = 8
+	// requestHeadBytes is the usual size of an encoded request line and header.
+	requestHeadBytes = 512
+	readBufferBytes  = 4 << 10
 )
 
 var (
 	errHeadTooLarge    = errors.New("head of the answer is too large")
 	errBodyTooLarge    = errors.New("answer is too large")
 	errTotalTooLarge   = errors.New("answers that are being read are too large together")
+	errMemoryShort     = errors.New("memory of the node is short")
 	errAttemptMismatch = errors.New("answer names another request")
 )
 
@@ -49,6 +59,8 @@
 	// totalBodyBytes counts the body bytes of all responses that are being read, on
 	// all connections.
 	totalBodyBytes *atomic.Int64
+	// holder holds the memory of the response that is being read.
+	holder accountant.Holder
 	// lastUsed is when the last response ended. idleTimeout is how long after that
 	// the connection may be used again.
 	lastUsed    time.Time
@@ -108,14 +120,15 @@
 // roundTrip sends a request and returns its response. idField is the header field that
 // names the attempt in the response.
 func (c *conn) roundTrip(r *Request, idField string) (response *Response, err error) {
-	head := appendRequest(make([]byte, 0, 512+len(r.Body)), r)
 	written := make(chan error, 1)
-	if len(r.Body) <= maxInlineBodyBytes {
+	if len(r.Body) <= maxInlineBodyBytes && len(r.MoreBody) == 0 {
+		head := appendRequest(make([]byte, 0, requestHeadBytes+len(r.Body)), r)
 		_, err := c.socket.Write(append(head, r.Body...))
 		written <- err
 	} else {
+		parts := append(net.Buffers{appendRequest(make([]byte, 0, requestHeadBytes), r), r.Body}, r.MoreBody...)
 		go func() {
-			_, err := c.socket.Write(append(head, r.Body...))
+			_, err := parts.WriteTo(c.socket)
 			written <- err
 		}()
 	}
@@ -158,6 +171,15 @@
 	return nil, errAttemptMismatch
 }
 
+// bodyBytes returns the size of the whole body.
+func (r *Request) bodyBytes() (size int64) {
+	size = int64(len(r.Body))
+	for _, part := range r.MoreBody {
+		size += int64(len(part))
+	}
+	return size
+}
+
 // keepAliveSeconds returns how long the server keeps an idle connection, in seconds,
 // from the Keep-Alive header. It returns 0 if there is no timeout parameter.
 func keepAliveSeconds(h http.Header) (seconds int) {
@@ -190,9 +212,9 @@
 			out = appendField(out, f.Name, f.Value)
 		}
 	}
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+	if size := r.bodyBytes(); size > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
 		out = append(out, "Content-Length: "...)
-		out = strconv.AppendInt(out, int64(len(r.Body)), 10)
+		out = strconv.AppendInt(out, size, 10)
 		out = append(out, "\r\n"...)
 	}
 	return append(out, "\r\n"...)
--- a/internal/invoker/response.go
+++ b/internal/invoker/response.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/flamingotack/flamingotack/internal/accountant"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 )
 
@@ -136,7 +137,7 @@
 		return nil, errBodyTooLarge
 	default:
 		c.noReuse = c.noReuse || !h.chunked && h.length == unknownLength
-		if response.Body, err = c.readAll(h); err != nil {
+		if response.Body, response.MoreBody, err = c.readAll(h); err != nil {
 			return nil, invalidIfMalformed(err)
 		}
 	}
@@ -160,51 +161,76 @@
 	return nil
 }
 
-// readAll reads a body. It allocates memory for a large body only as the data arrives,
-// whatever Content-Length says.
-func (c *conn) readAll(h *responseHead) (body []byte, err error) {
+// readAll reads a body into parts. It allocates memory for a large body only as the data
+// arrives, whatever Content-Length says.
+func (c *conn) readAll(h *responseHead) (first []byte, more [][]byte, err error) {
 	switch {
 	case h.chunked:
-		if body, err = c.readUntilEOF(httputil.NewChunkedReader(c.reader)); err != nil {
-			return nil, err
+		if first, more, err = c.readUntilEOF(httputil.NewChunkedReader(c.reader)); err != nil {
+			return nil, nil, err
 		}
 		c.headReader.remainingBytes = maxHeadBytes
 		_, err = textproto.NewReader(c.reader).ReadMIMEHeader()
-		return body, err
+		return first, more, err
 	case h.length == unknownLength:
 		return c.readUntilEOF(c.reader)
 	case h.length == 0:
-		return nil, nil
+		return nil, nil, nil
 	case h.length <= bodyChunkBytes:
-		body = make([]byte, h.length)
-		_, err = io.ReadFull(c.reader, body)
-		return body, err
+		first = make([]byte, h.length)
+		_, err = io.ReadFull(c.reader, first)
+		return first, nil, err
 	}
-	body, err = c.readUntilEOF(io.LimitReader(c.reader, h.length))
-	if err == nil && int64(len(body)) < h.length {
-		return nil, io.ErrUnexpectedEOF
+	rest := &io.LimitedReader{R: c.reader, N: h.length}
+	first, more, err = c.readUntilEOF(rest)
+	if err == nil && rest.N > 0 {
+		return nil, nil, io.ErrUnexpectedEOF
 	}
-	return body, err
+	return first, more, err
 }
 
 // readUntilEOF reads until r ends. The bytes count towards the limit of one body and of all.
-func (c *conn) readUntilEOF(r io.Reader) (body []byte, err error) {
-	readBytes := int64(0)
-	defer func() { c.totalBodyBytes.Add(-readBytes) }()
-	var buffer bytes.Buffer
+// It reserves the memory first. The reservation ends with the read, as the receiver of the
+// response reserves what it holds.
+func (c *conn) readUntilEOF(r io.Reader) (first []byte, more [][]byte, err error) {
+	readBytes, reservedBytes := int64(0), int64(0)
+	defer func() {
+		c.totalBodyBytes.Add(-readBytes)
+		c.holder.Release(reservedBytes)
+	}()
 	for {
-		n, err := io.CopyN(&buffer, r, bodyChunkBytes)
-		readBytes += n
-		total := c.totalBodyBytes.Add(n)
+		size := max(bodyChunkBytes, min(maxPartBytes, readBytes/partShareDivisor))
+		if limited, ok := r.(*io.LimitedReader); ok {
+			// One byte more than the rest finds the end.
+			size = min(size, limited.N+1)
+		}
+		if c.holder.Reserve(time.Now(), size) != accountant.Granted {
+			return nil, nil, errMemoryShort
+		}
+		reservedBytes += size
+		part := make([]byte, size)
+		n, err := exchanger.ReadPart(r, part)
+		part = part[:n]
+		readBytes += int64(n)
+		total := c.totalBodyBytes.Add(int64(n))
+		ended := errors.Is(err, io.EOF)
+		if ended && int64(cap(part)-n) > readBytes/partShareDivisor {
+			part = bytes.Clone(part)
+		}
+		if first == nil {
+			first = part
+		} else if n > 0 {
+			more = append(more, part)
+		}
 		switch {
-		case errors.Is(err, io.EOF):
-			return buffer.Bytes(), nil
+		case ended:
+			return first, more, nil
 		case err != nil:
-			return nil, err
+			return nil, nil, err
 		case readBytes > maxBodyBytes:
-			return nil, errBodyTooLarge
+			return nil, nil, errBodyTooLarge
 		case total > maxTotalBodyBytes:
-			return nil, errTotalTooLarge
+			return nil, nil, errTotalTooLarge
 		}
 	}
 }
@@ -216,7 +242,7 @@
 		netErr  net.Error
 		invalid *InvalidResponseError
 	)
-	if errors.As(err, &invalid) || errors.As(err, &netErr) || errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, errBodyTooLarge, errTotalTooLarge) {
+	if errors.As(err, &invalid) || errors.As(err, &netErr) || errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, errBodyTooLarge, errTotalTooLarge, errMemoryShort) {
 		return err
 	}
 	return &InvalidResponseError{Detail: err.Error()}
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/flamingotack/flamingotack/internal/accountant"
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/guardian"
@@ -77,6 +78,7 @@
 		receivedFanOuts: map[string]map[string]FanOut{},
 	}
 	n.Linker = New(n.member, timekeeper.SystemClock{}, logger.New(t.Output(), "info", m.Name), Handlers{
+		Account:            accountant.New(accountBytes),
 		FanOuts:            func() map[string]FanOut { return map[string]FanOut{"r": {Runs: 50, Calls: map[string]float64{"q": 2}}} },
 		DirectoryReachable: n.getDirectoryReachable,
 		GrantTokens:        func(_ context.Context, _ string, milliTokens int64, _ bool) int64 { return milliTokens / 2 },
@@ -194,7 +196,7 @@
 func TestConcurrentCallsShareLink(t *testing.T) {
 	a, b := startPair(t)
 	b.run = func(_ context.Context, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
-		return &exchanger.Reply{Status: 200, Header: c.Header, Body: c.Body}, nil
+		return &exchanger.Reply{Status: 200, Header: c.Header, Body: c.Body, MoreBody: c.MoreBody}, nil
 	}
 	var sent sync.WaitGroup
 	for _, size := range []int{0, 1, 1000, maxFrameBodyBytes, maxFrameBodyBytes + 1, 3*maxFrameBodyBytes + 5} {
@@ -207,8 +209,9 @@
 				t.Errorf("size %d: got refusal %v, want a reply", size, refusal)
 				return
 			}
-			if !bytes.Equal(reply.Body, c.Body) || reply.Header.Get("X-Size") != fmt.Sprint(size) || reply.ServerNode != "b" {
-				t.Errorf("size %d: got a reply of %d bytes from %s, want the body and header of the call from b", size, len(reply.Body), reply.ServerNode)
+			got := bytes.Join(append([][]byte{reply.Body}, reply.MoreBody...), nil)
+			if !bytes.Equal(got, c.Body) || reply.Header.Get("X-Size") != fmt.Sprint(size) || reply.ServerNode != "b" {
+				t.Errorf("size %d: got a reply of %d bytes from %s, want the body and header of the call from b", size, len(got), reply.ServerNode)
 			}
 		})
 	}
