Accept copies that end before the recent records, and remember deletions

Cause: Log.Accept took int(0 - RecentFrom) as the number of matching records when the restored log was empty and the recent records began later, and panicked. After a restore that lost nothing, and after a full read, the reader also forgot which keys were deleted, so that a later restore took a deleted key of the copy for a new one; the wider property test found that.

Change: the number is limited to 0. A restored log that has all recent records is continued like a log that was read on, and Reset keeps deletions. The property test covers every end of the copy, starts with Reset, and logs that are longer than what is compared.

--- a/internal/restorer/property_test.go
+++ b/internal/restorer/property_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -71,3 +72,66 @@
 		}
 	})
 }
+
+// TestReaderAfterAnyRestore guards against a panic and against records of the copy that come
+// into force over random logs, starts of the reader and ends of the copy, also below what the
+// reader can compare: after each restore every key has what the reader knew or what was
+// written since, and all that was written if the reader says so.
+func TestReaderAfterAnyRestore(t *testing.T) {
+	keys := []string{"a", "b", "c", "d"}
+	rapid.Check(t, func(t *rapid.T) {
+		var log []Record
+		number := 0
+		write := func(most int, deletions bool) (written []Record) {
+			for range rapid.IntRange(0, most).Draw(t, "records") {
+				number++
+				r := Record{Key: rapid.SampledFrom(keys).Draw(t, "key"), Offset: uint64(len(log)), Value: fmt.Append(nil, number)}
+				if deletions && rapid.IntRange(0, 3).Draw(t, "deleted") == 0 {
+					r.Value = nil
+				}
+				log = append(log, r)
+				written = append(written, r)
+			}
+			return written
+		}
+		var l Log
+		// Reset does not see deletions.
+		got := fold(map[string]string{}, write(20, false))
+		if rapid.Bool().Draw(t, "reset") {
+			l.Reset(newestOf(log), uint64(len(log)))
+		} else {
+			l.Append(log)
+		}
+		followed := write(maxRecentRecords+10, true)
+		l.Append(followed)
+		got = fold(got, followed)
+		for range rapid.IntRange(1, 3).Draw(t, "restores") {
+			known := got
+			log = append([]Record(nil), log[:rapid.IntRange(0, len(log)).Draw(t, "end of the copy")]...)
+			written := write(6, false)
+			want := fold(known, written)
+			restored := compare(&l, log)
+			l.Accept(restored, newestOf(log))
+			if restored.TakeCopy {
+				got = fold(map[string]string{}, log)
+			} else {
+				got = fold(known, restored.Written)
+			}
+			for _, key := range keys {
+				isNew := slices.ContainsFunc(written, func(r Record) bool { return r.Key == key && string(r.Value) == got[key] })
+				if got[key] != known[key] && !isNew {
+					t.Fatalf("got %s=%q after %+v, want %q or one of %v", key, got[key], restored, known[key], written)
+				}
+			}
+			if restored.Exact && !maps.Equal(got, want) {
+				t.Fatalf("got %v after %+v, want %v", got, restored, want)
+			}
+			if l.End() != uint64(len(log)) {
+				t.Fatalf("got end %d after %+v, want %d", l.End(), restored, len(log))
+			}
+			following := write(6, true)
+			l.Append(following)
+			got = fold(got, following)
+		}
+	})
+}
--- a/internal/restorer/restorer.go
+++ b/internal/restorer/restorer.go
@@ -54,6 +54,11 @@
 		// Exact reports whether From is the end of the copy, so that Written lacks no
 		// record.
 		Exact bool
+
+		// continued is set if the restored log has all recent records, and following are
+		// those after them.
+		continued bool
+		following []Record
 	}
 
 	// fingerprint stands for a record.
@@ -78,9 +83,18 @@
 	return l.end - uint64(len(l.recent))
 }
 
-// Reset replaces what is known by the newest record of each key.
+// Reset replaces what is known by the newest record of each key. A known key that is missing
+// was deleted.
 func (l *Log) Reset(newest []Record, end uint64) {
+	known := l.newest
 	*l = Log{end: end, newest: make(map[string]fingerprint, len(newest))}
+	for key, f := range known {
+		if !f.deleted {
+			// The offset of the deletion is not known, but it is below end.
+			f = fingerprint{offset: int64(end) - 1, deleted: true}
+		}
+		l.newest[key] = f
+	}
 	for _, r := range newest {
 		f := newFingerprint(r)
 		l.newest[r.Key] = f
@@ -142,7 +156,12 @@
 	}
 	switch {
 	case same > 0 && same == len(l.recent) && !l.kept:
-		return Restored{TakeCopy: true, From: end, End: end}
+		r := Restored{TakeCopy: true, From: end, End: end}
+		if l.RecentFrom()+uint64(len(tail)) >= end && end >= l.end {
+			// The tail was read later and may have further records.
+			r.continued, r.following = true, tail[same:same+int(end-l.end)]
+		}
+		return r
 	case same > 0:
 		return Restored{Written: tail[same:], From: l.RecentFrom() + uint64(same), End: l.RecentFrom() + uint64(len(tail)), Exact: true}
 	case l.holdsAll(newest, end, tail):
@@ -160,13 +179,18 @@
 
 // Accept continues with the restored log after Compare.
 func (l *Log) Accept(r Restored, newest []Record) {
+	if r.continued {
+		l.Append(r.following)
+		return
+	}
 	if r.TakeCopy {
 		l.Reset(newest, r.End)
 		return
 	}
 	kept := 0
 	if r.Exact {
-		kept = int(r.From - l.RecentFrom())
+		// An empty copy ends before the recent records.
+		kept = int(max(r.From, l.RecentFrom()) - l.RecentFrom())
 	}
 	l.recent = slices.Clone(l.recent[:kept])
 	l.recentBytes = 0
--- a/internal/restorer/restorer_test.go
+++ b/internal/restorer/restorer_test.go
@@ -113,6 +113,30 @@
 	}
 }
 
+// TestEmptyCopy guards against a panic when the copy ends before the recent records.
+func TestEmptyCopy(t *testing.T) {
+	var l Log
+	l.Reset(newRecords("c=1", "north=out"), 2)
+	restored := compare(&l, nil)
+	l.Accept(restored, nil)
+	if restored.TakeCopy || len(restored.Written) != 0 || l.End() != 0 {
+		t.Errorf("got %+v, end %d, want nothing written and end 0", restored, l.End())
+	}
+}
+
+// TestDeletionsOutlastReset guards against a deleted key that comes back with a restore, since
+// the newest records that were read in between do not show the deletion.
+func TestDeletionsOutlastReset(t *testing.T) {
+	log := newRecords("north=out", "north=", "c=1", "c=2")
+	var l Log
+	l.Append(log)
+	l.Reset(newestOf(log), 4)
+	l.Accept(compare(&l, log), newestOf(log))
+	if got := compare(&l, log[:1]); got.TakeCopy || len(got.Written) != 0 {
+		t.Errorf("got %+v, want nothing taken from the copy", got)
+	}
+}
+
 // TestReread guards against keys that stay although they were deleted while the reader was
 // away, and against lost ones that go without a deletion.
 func TestReread(t *testing.T) {
