Tell records of the copy from written ones in states of nodes that were behind

Cause: a node that was behind the others when the store was restored takes the copy and lists what it did not know as written. A node that knew more took records of the former era from that list: an older deletion returned a failure domain to service.

Change: the parts that such a state lists below WrittenFrom are taken only if the receiver does not know of them either, or if they take a failure domain out of service; those below the end of the copy, where the receiver knows it, never. What is not taken is not passed on.

--- a/internal/director/order.go
+++ b/internal/director/order.go
@@ -85,9 +85,13 @@
 	merged := s
 	merged.Era, merged.Revision, merged.PriorRevision = received.Era, received.Revision, prior
 	merged.Written, merged.WrittenFrom, merged.Exact = maps.Clone(received.Written), received.WrittenFrom, received.Exact
-	for part := range received.Written {
-		if s.Era != received.Era || received.Written[part] >= s.Written[part] {
+	for part, revision := range received.Written {
+		switch {
+		case s.Era == received.Era && revision < s.Written[part]:
+		case s.accepts(part, received):
 			merged.takePart(part, received)
+		default:
+			delete(merged.Written, part)
 		}
 	}
 	complete := received.Exact
@@ -101,6 +105,23 @@
 	return merged
 }
 
+// accepts reports whether a part that received lists as written replaces that of s. The sender
+// of a state that is not exact may have taken a record of the copy, of which it did not know,
+// for a written one. It counts only if s does not know of it either, or if it takes a failure
+// domain out of service, which is safe.
+func (s State) accepts(part string, received State) bool {
+	revision := received.Written[part]
+	if s.Era == received.Era && s.Exact && revision < s.WrittenFrom {
+		return false
+	}
+	return received.Exact || revision >= min(received.WrittenFrom, s.Revision) || received.evacuates(part)
+}
+
+func (s State) evacuates(part string) bool {
+	domain, found := strings.CutPrefix(part, domainPartPrefix)
+	return found && slices.Contains(s.EvacuatedDomains, domain)
+}
+
 // joinWritten adds what was written according to s, an earlier state of the same era.
 // complete reports whether the two leave no gap.
 func (s *State) joinWritten(earlier State, complete bool) {
@@ -108,6 +129,10 @@
 		s.Written = map[string]uint64{}
 	}
 	for part, revision := range earlier.Written {
+		if s.Exact && revision < s.WrittenFrom {
+			// The copy has this record.
+			continue
+		}
 		s.Written[part] = max(s.Written[part], revision)
 	}
 	if complete {
--- a/internal/director/order_test.go
+++ b/internal/director/order_test.go
@@ -50,6 +50,11 @@
 		{"same revision, knew less", kept, State{Era: 1, Revision: 7, PriorRevision: 6, Config: newConfig(4)}, Position{1, 7, 10}, 5, []string{"north"}},
 		{"unknown part", known, State{Era: 1, Revision: 6, PriorRevision: 6, WrittenFrom: 5, Exact: true, Written: map[string]uint64{"later": 5}, Config: newConfig(4)}, Position{1, 6, 10}, 5, []string{"north"}},
 		{"two restores, knows the one between", known, State{Era: 2, Revision: 3, PriorRevision: 4, WrittenFrom: 3, Exact: true, Config: newConfig(4)}, Position{2, 3, 4}, 5, nil},
+		{"node behind that lists a record of the copy", known, State{Era: 1, Revision: 9, PriorRevision: 2, WrittenFrom: 9, Written: map[string]uint64{DomainPart("north"): 3}, Config: newConfig(4)}, Position{1, 9, 9}, 5, []string{"north"}},
+		{"next revision of the node behind", State{Era: 1, Revision: 9, PriorRevision: 9, WrittenFrom: 9, Config: newConfig(5), EvacuatedDomains: []string{"north"}}, State{Era: 1, Revision: 10, PriorRevision: 2, WrittenFrom: 9, Written: map[string]uint64{DomainPart("north"): 3, DomainPart("south"): 9}, Config: newConfig(4), EvacuatedDomains: []string{"south"}}, Position{1, 10, 9}, 5, []string{"north", "south"}},
+		{"node behind that lists an evacuation", known, State{Era: 1, Revision: 9, PriorRevision: 2, WrittenFrom: 9, Written: map[string]uint64{DomainPart("south"): 3}, Config: newConfig(4), EvacuatedDomains: []string{"south"}}, Position{1, 9, 9}, 5, []string{"north", "south"}},
+		{"node behind that lists what nobody knows", known, State{Era: 1, Revision: 12, PriorRevision: 2, WrittenFrom: 12, Written: map[string]uint64{DomainPart("north"): 11}, Config: newConfig(4)}, Position{1, 12, 9}, 5, nil},
+		{"record of the copy, end of the copy known", kept, State{Era: 1, Revision: 8, PriorRevision: 2, WrittenFrom: 8, Written: map[string]uint64{DomainPart("south"): 3}, Config: newConfig(4), EvacuatedDomains: []string{"south"}}, Position{1, 8, 9}, 5, []string{"north"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/director/table.go
+++ b/internal/director/table.go
@@ -20,7 +20,8 @@
 		PriorRevision uint64 `json:"prior,omitempty"`
 		// Written maps the parts of the state that were written in this era to their
 		// revisions. It is complete for revisions from WrittenFrom on, and nil in
-		// the first era.
+		// the first era. Unless Exact is set, parts at earlier revisions may be
+		// records of the copy.
 		Written     map[string]uint64 `json:"written,omitempty"`
 		WrittenFrom uint64            `json:"writtenfrom,omitempty"`
 		// Exact reports whether WrittenFrom is the end of the copy, so that Written
