Keep what a first restore lost when nodes join before the second

Cause: a state of the next era was compared by the revision alone. After two restores without a write between, a node that joined between them named the same position with the content of the copy, so withdrawals ended on whoever received its state.

Change: the prior revision in the next era is the revision plus the prior revision, in the readers and in Merge. States that keep what the first restore lost go before those that do not, and merge their written parts only.

--- a/internal/director/order.go
+++ b/internal/director/order.go
@@ -64,19 +64,26 @@
 	return merged, true
 }
 
-// revisionBefore returns the revision up to which s knows the era before that of received, or
-// 0 if it knows nothing of it that received may lack.
+// revisionBefore returns the prior revision that s has in the era of received, or 0 if it knows
+// nothing that received may lack.
 func (s State) revisionBefore(received State) uint64 {
 	switch {
 	case s.Era == received.Era:
 		return s.PriorRevision
 	case s.Era+1 == received.Era || received.PriorRevision == 0:
-		return s.Revision
+		return s.NextPriorRevision()
 	}
 	// The sender of received knew an era between the two.
 	return 0
 }
 
+// NextPriorRevision returns the prior revision of s in the next era. It includes the prior
+// revision of s, so that a state that keeps what two restores have lost goes before one that
+// was read anew between them.
+func (s State) NextPriorRevision() uint64 {
+	return s.Revision + s.PriorRevision
+}
+
 // withWritten returns s with the parts of received that were written in its era. prior is the
 // revision up to which s knows the era before. If received does not list all parts that may
 // have been written, the result claims one revision less, so that it gives way to a state
--- a/internal/director/order_test.go
+++ b/internal/director/order_test.go
@@ -55,6 +55,9 @@
 		{"node behind that lists an evacuation", known, State{Era: 1, Revision: 9, PriorRevision: 2, WrittenFrom: 9, Written: map[string]uint64{DomainPart("south"): 3}, Config: newConfig(4), EvacuatedDomains: []string{"south"}}, Position{1, 9, 9}, 5, []string{"north", "south"}},
 		{"node behind that lists what nobody knows", known, State{Era: 1, Revision: 12, PriorRevision: 2, WrittenFrom: 12, Written: map[string]uint64{DomainPart("north"): 11}, Config: newConfig(4)}, Position{1, 12, 9}, 5, nil},
 		{"record of the copy, end of the copy known", kept, State{Era: 1, Revision: 8, PriorRevision: 2, WrittenFrom: 8, Written: map[string]uint64{DomainPart("south"): 3}, Config: newConfig(4), EvacuatedDomains: []string{"south"}}, Position{1, 8, 9}, 5, []string{"north"}},
+		{"two restores, sender joined between", kept, State{Era: 2, Revision: 7, PriorRevision: 7, WrittenFrom: 7, Exact: true, Config: newConfig(4)}, Position{2, 7, 17}, 5, []string{"north"}},
+		{"two restores, sender joined between and can't compare", kept, State{Era: 2, Revision: 7, PriorRevision: 6, WrittenFrom: 7, Config: newConfig(4)}, Position{2, 7, 16}, 5, []string{"north"}},
+		{"two restores, joined between", State{Era: 1, Revision: 7, Config: newConfig(4)}, State{Era: 2, Revision: 7, PriorRevision: 17, WrittenFrom: 7, Exact: true, Config: newConfig(5), EvacuatedDomains: []string{"north"}}, Position{2, 7, 17}, 5, []string{"north"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/director/table.go
+++ b/internal/director/table.go
@@ -16,7 +16,8 @@
 		// states replaces the other.
 		Revision uint64 `json:"revision"`
 		// PriorRevision is the revision of the previous era whose content the state
-		// keeps; 0 in the first era and if the content is that of the copy.
+		// keeps, plus the prior revision in that era; 0 in the first era and if the
+		// content is that of the copy.
 		PriorRevision uint64 `json:"prior,omitempty"`
 		// Written maps the parts of the state that were written in this era to their
 		// revisions. It is complete for revisions from WrittenFrom on, and nil in
