Do not take records of the copy whose deletion was never seen for written ones

Cause: a key that was deleted before the reader's first read is unknown to it, as the newest records do not show deletions. If the copy had the key again, the record counted as written after the restore. A withdrawn order would have come back.

Change: a record of an unknown key counts as written only from the end of what was known on.

--- a/internal/restorer/restorer.go
+++ b/internal/restorer/restorer.go
@@ -256,12 +256,16 @@
 
 // surelyWritten returns those of the newest records that can't be from the copy: those behind
 // the newest known record of their key, those with another value at its offset, and those of
-// a key that is unknown.
+// an unknown key from the known end on. Before it the copy may have records of a key whose
+// deletion was never seen, because the newest records do not show deletions.
 func (l *Log) surelyWritten(newest []Record) (written []Record) {
 	for _, r := range newest {
 		known, ok := l.newest[r.Key]
 		offset := int64(r.Offset)
-		if !ok || offset > known.offset || offset == known.offset && !known.lost && newFingerprint(r).digest != known.digest {
+		if !ok {
+			known.offset = int64(l.end) - 1
+		}
+		if offset > known.offset || ok && offset == known.offset && !known.lost && newFingerprint(r).digest != known.digest {
 			written = append(written, r)
 		}
 	}
