--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -57,7 +57,9 @@
 		// Era returns the era of the directory, which rises when the directory is
 		// restored from an older copy. WatchEra passes each higher era to onEra until
 		// ctx ends.
+		// InitialEra returns the era of its first answer; 0 if there was none yet.
 		Era() uint64
+		InitialEra() uint64
 		WatchEra(ctx context.Context, onEra func(era uint64)) error
 		// WriteMember writes the node's registration again. Members returns the
 		// members.
@@ -161,7 +163,7 @@
 	defer func() { err = errors.Wrapf(err, "set up node %q", s.Name) }()
 	n = &Node{settings: s, backendChanged: make(chan struct{}, 1)}
 	n.table.Publish(director.NewTable(director.State{}))
-	n.rewriter = newRewriter(s.Logger.Named("rewriter"), s.Directory.Era, func() int { return len(n.linker.Peers()) + 1 }, n.rereadMembers)
+	n.rewriter = newRewriter(s.Logger.Named("rewriter"), s.Directory.Era, s.Directory.InitialEra, func() int { return len(n.linker.Peers()) + 1 }, n.rereadMembers)
 	n.rewriter.add("member record", n.rewriteMember)
 	n.rewriter.add("learned state", n.rewriteLearnedState)
 	callers, err := listen(s.CallerAddress)
--- a/internal/composer/rewriter.go
+++ b/internal/composer/rewriter.go
@@ -22,6 +22,9 @@
 	// minRewriteBackoff and maxRewriteBackoff bound the delay after a failed write.
 	minRewriteBackoff = 50 * time.Millisecond
 	maxRewriteBackoff = 2 * time.Second
+	// maxUnconfirmedBackoff bounds the delay after a write in whose answer the directory did
+	// not name the era, which only another node has named. It may never do so.
+	maxUnconfirmedBackoff = time.Minute
 	// rereadDelay is how long after a restore the members are read. By then all nodes have
 	// written their records again.
 	rereadDelay = 3 * time.Second
@@ -42,6 +45,9 @@
 		// number of nodes.
 		directoryEra func() uint64
 		nodeCount    func() int
+		// initialEra returns the era of the directory's first answer, before which
+		// this node has written nothing.
+		initialEra func() uint64
 		// reread reads the members again.
 		reread func(ctx context.Context) error
 		raised chan struct{}
@@ -58,8 +64,8 @@
 	}
 )
 
-func newRewriter(l *logger.Logger, directoryEra func() uint64, nodeCount func() int, reread func(context.Context) error) *rewriter {
-	return &rewriter{logger: l, directoryEra: directoryEra, nodeCount: nodeCount, reread: reread, raised: make(chan struct{}, 1)}
+func newRewriter(l *logger.Logger, directoryEra, initialEra func() uint64, nodeCount func() int, reread func(context.Context) error) *rewriter {
+	return &rewriter{logger: l, directoryEra: directoryEra, initialEra: initialEra, nodeCount: nodeCount, reread: reread, raised: make(chan struct{}, 1)}
 }
 
 // RewriteAfterRestore registers a record that the node writes again each time the directory
@@ -107,6 +113,9 @@
 		return
 	}
 	r.era = era
+	if era <= r.initialEra() {
+		return
+	}
 	r.restores.Add(1)
 	select {
 	case r.raised <- struct{}{}:
@@ -152,7 +161,8 @@
 // retry writes a record until that succeeds in the era, and reports whether it did. It gives
 // up if a later era begins, there is nothing to write or ctx ends.
 func (r *rewriter) retry(ctx context.Context, era uint64, record rewritableRecord) (done bool) {
-	for backoff := minRewriteBackoff; ctx.Err() == nil; backoff = min(maxRewriteBackoff, 2*backoff) {
+	backoff := minRewriteBackoff
+	for ctx.Err() == nil {
 		if latest, _ := r.current(); latest > era {
 			return false
 		}
@@ -160,19 +170,34 @@
 		if errors.Is(err, errNothingToRewrite) {
 			return false
 		}
+		longest := maxRewriteBackoff
 		if latest := r.directoryEra(); err == nil && latest < era {
 			// The directory answered before it was restored.
+			longest = maxUnconfirmedBackoff
 			err = errors.Newf("answer of the directory is of era %d", latest)
 		}
 		if err == nil {
 			return true
 		}
 		r.logger.Warnf("%s in era %d failed, retried: %v", record.name, era, err)
-		timekeeper.Sleep(ctx, backoff/2+rand.N(backoff))
+		r.sleep(ctx, backoff/2+rand.N(backoff), era)
+		backoff = min(longest, 2*backoff)
 	}
 	return false
 }
 
+// sleep waits for d. Of a longer time than maxRewriteBackoff it waits only until the directory
+// names the era or another node a later one.
+func (r *rewriter) sleep(ctx context.Context, d time.Duration, era uint64) {
+	for d > maxRewriteBackoff && r.directoryEra() < era && timekeeper.Sleep(ctx, maxRewriteBackoff) {
+		if latest, _ := r.current(); latest > era {
+			return
+		}
+		d -= maxRewriteBackoff
+	}
+	timekeeper.Sleep(ctx, min(d, maxRewriteBackoff))
+}
+
 // rewriteDelay returns how long a node waits before it writes its records again. random is
 // from 0 to 1.
 func rewriteDelay(nodes int, random float64) time.Duration {
--- a/internal/composer/rewriter_test.go
+++ b/internal/composer/rewriter_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/logger"
@@ -16,7 +17,7 @@
 // startRewriter runs a rewriter whose directory is in the given era.
 func startRewriter(t *testing.T, directoryEra *atomic.Uint64) *rewriter {
 	t.Helper()
-	r := newRewriter(logger.New(t.Output(), "info", "n"), directoryEra.Load, func() int { return 1 }, func(context.Context) error { return nil })
+	r := newRewriter(logger.New(t.Output(), "info", "n"), directoryEra.Load, func() uint64 { return 0 }, func() int { return 1 }, func(context.Context) error { return nil })
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -97,3 +98,39 @@
 		t.Errorf("got %d restores, want 2", got)
 	}
 }
+
+// TestEraOfStartIsNoRestore guards against a node that counts a restore and writes its records
+// twice because it starts in a later era.
+func TestEraOfStartIsNoRestore(t *testing.T) {
+	r := newRewriter(logger.New(t.Output(), "info", "n"), func() uint64 { return 2 }, func() uint64 { return 2 }, func() int { return 1 }, nil)
+	r.noteEra(2)
+	if got := r.restores.Load(); got != 0 || len(r.raised) != 0 {
+		t.Errorf("got %d restores, %d rewrites due in the era of the start, want none", got, len(r.raised))
+	}
+	r.noteEra(3)
+	if got := r.restores.Load(); got != 1 || len(r.raised) != 1 {
+		t.Errorf("got %d restores, %d rewrites due in the next era, want 1 each", got, len(r.raised))
+	}
+}
+
+// TestEraThatTheDirectoryNeverNames guards against writes every 2 s without an end when another
+// node names an era that the directory does not have.
+func TestEraThatTheDirectoryNeverNames(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRewriter(logger.New(t.Output(), "info", "n"), func() uint64 { return 0 }, func() uint64 { return 0 }, func() int { return 1 }, nil)
+		r.noteEra(9)
+		writes := 0
+		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+		defer cancel()
+		if r.retry(ctx, 9, rewritableRecord{"record", func(context.Context) error {
+			writes++
+			return nil
+		}}) {
+			t.Error("got a write that counts, want none")
+		}
+		// At most two writes per minute, and those of the first minute.
+		if writes < 30 || writes > 135 {
+			t.Errorf("got %d writes in an hour, want 30 to 135", writes)
+		}
+	})
+}
