--- a/internal/director/order.go
+++ b/internal/director/order.go
@@ -91,7 +91,7 @@
 func (s State) withWritten(received State, prior uint64) State {
 	merged := s
 	merged.Era, merged.Revision, merged.PriorRevision = received.Era, received.Revision, prior
-	merged.Written, merged.WrittenFrom, merged.Exact = maps.Clone(received.Written), received.WrittenFrom, received.Exact
+	merged.Written, merged.WrittenFrom, merged.WrittenComplete = maps.Clone(received.Written), received.WrittenFrom, received.WrittenComplete
 	for part, revision := range received.Written {
 		switch {
 		case s.Era == received.Era && revision < s.Written[part]:
@@ -101,7 +101,7 @@
 			delete(merged.Written, part)
 		}
 	}
-	complete := received.Exact
+	complete := received.WrittenComplete
 	if s.Era == received.Era {
 		complete = complete || received.WrittenFrom <= s.Revision
 		merged.joinWritten(s, complete)
@@ -113,15 +113,15 @@
 }
 
 // accepts reports whether a part that received lists as written replaces that of s. The sender
-// of a state that is not exact may have taken a record of the copy, of which it did not know,
+// of a state that is not complete may have taken a record of the copy, of which it did not know,
 // for a written one. It counts only if s does not know of it either, or if it takes a failure
 // domain out of service, which is safe.
 func (s State) accepts(part string, received State) bool {
 	revision := received.Written[part]
-	if s.Era == received.Era && s.Exact && revision < s.WrittenFrom {
+	if s.Era == received.Era && s.WrittenComplete && revision < s.WrittenFrom {
 		return false
 	}
-	return received.Exact || revision >= min(received.WrittenFrom, s.Revision) || received.evacuates(part)
+	return received.WrittenComplete || revision >= min(received.WrittenFrom, s.Revision) || received.evacuates(part)
 }
 
 func (s State) evacuates(part string) bool {
@@ -136,14 +136,14 @@
 		s.Written = map[string]uint64{}
 	}
 	for part, revision := range earlier.Written {
-		if s.Exact && revision < s.WrittenFrom {
+		if s.WrittenComplete && revision < s.WrittenFrom {
 			// The copy has this record.
 			continue
 		}
 		s.Written[part] = max(s.Written[part], revision)
 	}
 	if complete {
-		s.Exact = s.Exact || earlier.Exact
+		s.WrittenComplete = s.WrittenComplete || earlier.WrittenComplete
 		s.WrittenFrom = min(s.WrittenFrom, earlier.WrittenFrom)
 	}
 }
--- a/internal/director/order_test.go
+++ b/internal/director/order_test.go
@@ -23,7 +23,7 @@
 // TestMerge guards against withdrawals that end because a state of a later era lacks them.
 func TestMerge(t *testing.T) {
 	known := State{Revision: 10, Config: newConfig(5), EvacuatedDomains: []string{"north"}}
-	kept := State{Era: 1, Revision: 7, PriorRevision: 10, WrittenFrom: 6, Exact: true, Config: newConfig(5), EvacuatedDomains: []string{"north"}}
+	kept := State{Era: 1, Revision: 7, PriorRevision: 10, WrittenFrom: 6, WrittenComplete: true, Config: newConfig(5), EvacuatedDomains: []string{"north"}}
 	tests := []struct {
 		name              string
 		current, received State
@@ -37,27 +37,27 @@
 		{"newer revision, lower version", known, State{Revision: 11, Config: newConfig(3)}, Position{0, 11, 0}, 5, nil},
 		{"same revision", known, State{Revision: 10, Config: newConfig(6)}, Position{0, 10, 0}, 5, []string{"north"}},
 		{"earlier era", kept, State{Revision: 99, Config: newConfig(9)}, Position{1, 7, 10}, 5, []string{"north"}},
-		{"copy that lacks what is known", known, State{Era: 1, Revision: 6, PriorRevision: 6, WrittenFrom: 6, Exact: true, Config: newConfig(4)}, Position{1, 6, 10}, 5, []string{"north"}},
-		{"node that knew as much", known, State{Era: 1, Revision: 6, PriorRevision: 10, WrittenFrom: 6, Exact: true, Config: newConfig(5)}, Position{1, 6, 10}, 5, nil},
-		{"node that knew more", known, State{Era: 1, Revision: 6, PriorRevision: 12, WrittenFrom: 6, Exact: true, Config: newConfig(6)}, Position{1, 6, 12}, 6, nil},
+		{"copy that lacks what is known", known, State{Era: 1, Revision: 6, PriorRevision: 6, WrittenFrom: 6, WrittenComplete: true, Config: newConfig(4)}, Position{1, 6, 10}, 5, []string{"north"}},
+		{"node that knew as much", known, State{Era: 1, Revision: 6, PriorRevision: 10, WrittenFrom: 6, WrittenComplete: true, Config: newConfig(5)}, Position{1, 6, 10}, 5, nil},
+		{"node that knew more", known, State{Era: 1, Revision: 6, PriorRevision: 12, WrittenFrom: 6, WrittenComplete: true, Config: newConfig(6)}, Position{1, 6, 12}, 6, nil},
 		{"new node", known, State{Era: 1, Revision: 6, WrittenFrom: 6, Config: newConfig(4)}, Position{1, 6, 9}, 5, []string{"north"}},
 		{"new node, new version", known, State{Era: 1, Revision: 7, WrittenFrom: 7, Config: newConfig(7)}, Position{1, 7, 9}, 7, []string{"north"}},
-		{"written again", known, State{Era: 1, Revision: 8, PriorRevision: 6, WrittenFrom: 6, Exact: true, Written: map[string]uint64{DomainPart("north"): 6, ConfigPart: 7}, Config: newConfig(6), EvacuatedDomains: []string{"south"}}, Position{1, 8, 10}, 6, nil},
-		{"next revision of a node that knew less", kept, State{Era: 1, Revision: 8, PriorRevision: 6, WrittenFrom: 6, Exact: true, Written: map[string]uint64{DomainPart("south"): 7}, Config: newConfig(4), EvacuatedDomains: []string{"south"}}, Position{1, 8, 10}, 5, []string{"north", "south"}},
+		{"written again", known, State{Era: 1, Revision: 8, PriorRevision: 6, WrittenFrom: 6, WrittenComplete: true, Written: map[string]uint64{DomainPart("north"): 6, ConfigPart: 7}, Config: newConfig(6), EvacuatedDomains: []string{"south"}}, Position{1, 8, 10}, 6, nil},
+		{"next revision of a node that knew less", kept, State{Era: 1, Revision: 8, PriorRevision: 6, WrittenFrom: 6, WrittenComplete: true, Written: map[string]uint64{DomainPart("south"): 7}, Config: newConfig(4), EvacuatedDomains: []string{"south"}}, Position{1, 8, 10}, 5, []string{"north", "south"}},
 		{"next revision of a new node", kept, State{Era: 1, Revision: 8, WrittenFrom: 7, Written: map[string]uint64{DomainPart("north"): 7}, Config: newConfig(4)}, Position{1, 8, 10}, 5, nil},
 		{"new node that may lack a change", kept, State{Era: 1, Revision: 9, WrittenFrom: 9, Config: newConfig(6)}, Position{1, 9, 9}, 6, []string{"north"}},
 		{"same revision, knew more", State{Era: 1, Revision: 7, PriorRevision: 6, Config: newConfig(4)}, kept, Position{1, 7, 10}, 5, []string{"north"}},
 		{"same revision, knew less", kept, State{Era: 1, Revision: 7, PriorRevision: 6, Config: newConfig(4)}, Position{1, 7, 10}, 5, []string{"north"}},
-		{"unknown part", known, State{Era: 1, Revision: 6, PriorRevision: 6, WrittenFrom: 5, Exact: true, Written: map[string]uint64{"later": 5}, Config: newConfig(4)}, Position{1, 6, 10}, 5, []string{"north"}},
-		{"two restores, knows the one between", known, State{Era: 2, Revision: 3, PriorRevision: 4, WrittenFrom: 3, Exact: true, Config: newConfig(4)}, Position{2, 3, 4}, 5, nil},
+		{"unknown part", known, State{Era: 1, Revision: 6, PriorRevision: 6, WrittenFrom: 5, WrittenComplete: true, Written: map[string]uint64{"later": 5}, Config: newConfig(4)}, Position{1, 6, 10}, 5, []string{"north"}},
+		{"two restores, knows the one between", known, State{Era: 2, Revision: 3, PriorRevision: 4, WrittenFrom: 3, WrittenComplete: true, Config: newConfig(4)}, Position{2, 3, 4}, 5, nil},
 		{"node behind that lists a record of the copy", known, State{Era: 1, Revision: 9, PriorRevision: 2, WrittenFrom: 9, Written: map[string]uint64{DomainPart("north"): 3}, Config: newConfig(4)}, Position{1, 9, 9}, 5, []string{"north"}},
 		{"next revision of the node behind", State{Era: 1, Revision: 9, PriorRevision: 9, WrittenFrom: 9, Config: newConfig(5), EvacuatedDomains: []string{"north"}}, State{Era: 1, Revision: 10, PriorRevision: 2, WrittenFrom: 9, Written: map[string]uint64{DomainPart("north"): 3, DomainPart("south"): 9}, Config: newConfig(4), EvacuatedDomains: []string{"south"}}, Position{1, 10, 9}, 5, []string{"north", "south"}},
 		{"node behind that lists an evacuation", known, State{Era: 1, Revision: 9, PriorRevision: 2, WrittenFrom: 9, Written: map[string]uint64{DomainPart("south"): 3}, Config: newConfig(4), EvacuatedDomains: []string{"south"}}, Position{1, 9, 9}, 5, []string{"north", "south"}},
 		{"node behind that lists what nobody knows", known, State{Era: 1, Revision: 12, PriorRevision: 2, WrittenFrom: 12, Written: map[string]uint64{DomainPart("north"): 11}, Config: newConfig(4)}, Position{1, 12, 9}, 5, nil},
 		{"record of the copy, end of the copy known", kept, State{Era: 1, Revision: 8, PriorRevision: 2, WrittenFrom: 8, Written: map[string]uint64{DomainPart("south"): 3}, Config: newConfig(4), EvacuatedDomains: []string{"south"}}, Position{1, 8, 9}, 5, []string{"north"}},
-		{"two restores, sender joined between", kept, State{Era: 2, Revision: 7, PriorRevision: 7, WrittenFrom: 7, Exact: true, Config: newConfig(4)}, Position{2, 7, 17}, 5, []string{"north"}},
+		{"two restores, sender joined between", kept, State{Era: 2, Revision: 7, PriorRevision: 7, WrittenFrom: 7, WrittenComplete: true, Config: newConfig(4)}, Position{2, 7, 17}, 5, []string{"north"}},
 		{"two restores, sender joined between and can't compare", kept, State{Era: 2, Revision: 7, PriorRevision: 6, WrittenFrom: 7, Config: newConfig(4)}, Position{2, 7, 16}, 5, []string{"north"}},
-		{"two restores, joined between", State{Era: 1, Revision: 7, Config: newConfig(4)}, State{Era: 2, Revision: 7, PriorRevision: 17, WrittenFrom: 7, Exact: true, Config: newConfig(5), EvacuatedDomains: []string{"north"}}, Position{2, 7, 17}, 5, []string{"north"}},
+		{"two restores, joined between", State{Era: 1, Revision: 7, Config: newConfig(4)}, State{Era: 2, Revision: 7, PriorRevision: 17, WrittenFrom: 7, WrittenComplete: true, Config: newConfig(5), EvacuatedDomains: []string{"north"}}, Position{2, 7, 17}, 5, []string{"north"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/director/table.go
+++ b/internal/director/table.go
@@ -21,13 +21,13 @@
 		PriorRevision uint64 `json:"prior,omitempty"`
 		// Written maps the parts of the state that were written in this era to their
 		// revisions. It is complete for revisions from WrittenFrom on, and nil in
-		// the first era. Unless Exact is set, parts at earlier revisions may be
+		// the first era. Unless WrittenComplete is set, parts at earlier revisions may be
 		// records of the copy.
 		Written     map[string]uint64 `json:"written,omitempty"`
 		WrittenFrom uint64            `json:"writtenfrom,omitempty"`
-		// Exact reports whether WrittenFrom is the end of the copy, so that Written
+		// WrittenComplete reports whether WrittenFrom is the end of the copy, so that Written
 		// has all parts that were written in this era.
-		Exact bool `json:"exact,omitempty"`
+		WrittenComplete bool `json:"exact,omitempty"`
 		// Config is the newest configuration; nil before the first.
 		Config *Config `json:"config,omitempty"`
 		// EvacuatedDomains are the failure domains that get no requests.
--- a/internal/linker/era_test.go
+++ b/internal/linker/era_test.go
@@ -25,7 +25,7 @@
 	}
 	restored := func(prior, version uint64, evacuated ...string) director.State {
 		s := old(6, version, evacuated...)
-		s.Era, s.PriorRevision, s.WrittenFrom, s.Exact = 1, prior, 6, true
+		s.Era, s.PriorRevision, s.WrittenFrom, s.WrittenComplete = 1, prior, 6, true
 		return s
 	}
 	tests := []struct {
@@ -38,7 +38,7 @@
 	}{
 		{"era is news to most", []director.State{old(10, 5, "d1"), old(10, 5, "d1"), old(10, 5, "d1"), restored(10, 5, "d1")}, director.Position{Era: 1, Revision: 6, PriorRevision: 10}, 5, []string{"d1"}},
 		{"those of the new era knew less", []director.State{old(10, 5, "d1"), restored(6, 4), old(9, 5), restored(9, 5)}, director.Position{Era: 1, Revision: 6, PriorRevision: 10}, 5, []string{"d1"}},
-		{"empty copy", []director.State{old(10, 5, "d1"), {Era: 1, PriorRevision: 10, Exact: true, Config: &director.Config{Version: 5}, EvacuatedDomains: []string{"d1"}}}, director.Position{Era: 1, PriorRevision: 10}, 5, []string{"d1"}},
+		{"empty copy", []director.State{old(10, 5, "d1"), {Era: 1, PriorRevision: 10, WrittenComplete: true, Config: &director.Config{Version: 5}, EvacuatedDomains: []string{"d1"}}}, director.Position{Era: 1, PriorRevision: 10}, 5, []string{"d1"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -53,7 +53,7 @@
 				}
 			}
 			// One node reads that d1 is back in service and d2 is not.
-			change := director.State{Era: 1, Revision: 8, WrittenFrom: 6, Exact: true, PriorRevision: 6, Config: &director.Config{Version: 4}, EvacuatedDomains: []string{"d2"}}
+			change := director.State{Era: 1, Revision: 8, WrittenFrom: 6, WrittenComplete: true, PriorRevision: 6, Config: &director.Config{Version: 4}, EvacuatedDomains: []string{"d2"}}
 			change.Written = map[string]uint64{director.DomainPart("d1"): 6, director.DomainPart("d2"): 7}
 			nodes[3].receive(change)
 			awaitAll(t, nodes, func(n *node) bool { return n.getState().Revision == 8 })
--- a/internal/restorer/property_test.go
+++ b/internal/restorer/property_test.go
@@ -123,7 +123,7 @@
 					t.Fatalf("got %s=%q after %+v, want %q or one of %v", key, got[key], restored, known[key], written)
 				}
 			}
-			if restored.Exact && !maps.Equal(got, want) {
+			if restored.WrittenComplete && !maps.Equal(got, want) {
 				t.Fatalf("got %v after %+v, want %v", got, restored, want)
 			}
 			if l.End() != uint64(len(log)) {
--- a/internal/restorer/restorer.go
+++ b/internal/restorer/restorer.go
@@ -35,8 +35,8 @@
 		// recent holds the records before end without a gap, recentBytes their size.
 		recent      []fingerprint
 		recentBytes int
-		// kept is set if something is known that a restored log lacked.
-		kept bool
+		// holdsLostRecords is set if something is known that a restored log lacked.
+		holdsLostRecords bool
 	}
 
 	// Restored says what a reader does after a restore.
@@ -45,15 +45,15 @@
 		// reader then takes over the newest records; otherwise it keeps what it knows
 		// and applies Written.
 		TakeCopy bool
-		// Written are the records of the restored log that were surely written after
+		// Written are the records of the restored log that were provably written after
 		// the restore, in the order of their offsets.
 		Written []Record
 		// From is the offset from which on Written has all records, and End the offset
 		// at which reading continues.
 		From, End uint64
-		// Exact reports whether From is the end of the copy, so that Written lacks no
+		// WrittenComplete reports whether From is the end of the copy, so that Written lacks no
 		// record.
-		Exact bool
+		WrittenComplete bool
 
 		// continued is set if the restored log has all recent records, and following are
 		// those after them.
@@ -155,7 +155,7 @@
 		same++
 	}
 	switch {
-	case same > 0 && same == len(l.recent) && !l.kept:
+	case same > 0 && same == len(l.recent) && !l.holdsLostRecords:
 		r := Restored{TakeCopy: true, From: end, End: end}
 		if l.RecentFrom()+uint64(len(tail)) >= end && end >= l.end {
 			// The tail was read later and may have further records.
@@ -163,18 +163,18 @@
 		}
 		return r
 	case same > 0:
-		return Restored{Written: tail[same:], From: l.RecentFrom() + uint64(same), End: l.RecentFrom() + uint64(len(tail)), Exact: true}
+		return Restored{Written: tail[same:], From: l.RecentFrom() + uint64(same), End: l.RecentFrom() + uint64(len(tail)), WrittenComplete: true}
 	case l.holdsAll(newest, end, tail):
 		return Restored{TakeCopy: true, From: end, End: end}
 	}
-	written := l.surelyWritten(newest)
+	written := l.provablyNew(newest)
 	if len(l.recent) == 0 || len(tail) == 0 {
-		return Restored{Written: written, From: end, End: end, Exact: end == 0}
+		return Restored{Written: written, From: end, End: end, WrittenComplete: end == 0}
 	}
 	// The copy ends at or before the first of the recent records.
 	from := l.RecentFrom()
 	written = slices.DeleteFunc(written, func(r Record) bool { return r.Offset >= from })
-	return Restored{Written: append(written, tail...), From: from, End: from + uint64(len(tail)), Exact: from == 0}
+	return Restored{Written: append(written, tail...), From: from, End: from + uint64(len(tail)), WrittenComplete: from == 0}
 }
 
 // Accept continues with the restored log after Compare.
@@ -187,17 +187,17 @@
 		l.Reset(newest, r.End)
 		return
 	}
-	kept := 0
-	if r.Exact {
+	matchingCount := 0
+	if r.WrittenComplete {
 		// An empty copy ends before the recent records.
-		kept = int(max(r.From, l.RecentFrom()) - l.RecentFrom())
+		matchingCount = int(max(r.From, l.RecentFrom()) - l.RecentFrom())
 	}
-	l.recent = slices.Clone(l.recent[:kept])
+	l.recent = slices.Clone(l.recent[:matchingCount])
 	l.recentBytes = 0
 	for _, f := range l.recent {
 		l.recentBytes += f.bytes
 	}
-	l.kept = true
+	l.holdsLostRecords = true
 	missing := missingKeys(l.newest, newest)
 	for key, f := range l.newest {
 		if f.offset >= int64(r.From) || slices.Contains(missing, key) {
@@ -254,11 +254,11 @@
 	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
 }
 
-// surelyWritten returns those of the newest records that can't be from the copy: those behind
+// provablyNew returns those of the newest records that can't be from the copy: those behind
 // the newest known record of their key, those with another value at its offset, and those of
 // an unknown key from the known end on. Before it the copy may have records of a key whose
 // deletion was never seen, because the newest records do not show deletions.
-func (l *Log) surelyWritten(newest []Record) (written []Record) {
+func (l *Log) provablyNew(newest []Record) (written []Record) {
 	for _, r := range newest {
 		known, ok := l.newest[r.Key]
 		offset := int64(r.Offset)
--- a/internal/restorer/restorer_test.go
+++ b/internal/restorer/restorer_test.go
@@ -86,8 +86,8 @@
 			l.Reset(newestOf(all[:split]), uint64(split))
 			l.Append(all[split:])
 			got := compare(&l, newRecords(tt.restored...))
-			if got.TakeCopy != tt.takeCopy || got.Exact != tt.exact || !slices.Equal(textsOf(got.Written), tt.written) {
-				t.Errorf("got copy taken %t, exact %t, written %v; want %t, %t, %v", got.TakeCopy, got.Exact, textsOf(got.Written), tt.takeCopy, tt.exact, tt.written)
+			if got.TakeCopy != tt.takeCopy || got.WrittenComplete != tt.exact || !slices.Equal(textsOf(got.Written), tt.written) {
+				t.Errorf("got copy taken %t, exact %t, written %v; want %t, %t, %v", got.TakeCopy, got.WrittenComplete, textsOf(got.Written), tt.takeCopy, tt.exact, tt.written)
 			}
 			if got.End != uint64(len(tt.restored)) {
 				t.Errorf("got end %d, want %d", got.End, len(tt.restored))
@@ -107,7 +107,7 @@
 	l.Append(newRecords("c=1", "north=out", "c=2", "north="))
 	first := newRecords("c=1", "north=out", "c=2")
 	l.Accept(compare(&l, first), newestOf(first))
-	if got := compare(&l, first); got.TakeCopy || !got.Exact || len(got.Written) != 0 {
+	if got := compare(&l, first); got.TakeCopy || !got.WrittenComplete || len(got.Written) != 0 {
 		t.Errorf("got %+v, want nothing taken from the copy, which lacks the deletion of north", got)
 	}
 }
