--- a/internal/director/order.go
+++ b/internal/director/order.go
@@ -64,19 +64,26 @@
 	return merged, true
 }
 
-// revisionBefore returns the revision up to which s knows the era before that of received, or
-// 0 if it knows nothing of it that received may lack.
+// revisionBefore returns the prior revision that s has in the era of received, or 0 if it knows
+// nothing that received may lack.
 func (s State) revisionBefore(received State) uint64 {
 	switch {
 	case s.Era == received.Era:
 		return s.PriorRevision
 	case s.Era+1 == received.Era || received.PriorRevision == 0:
-		return s.Revision
+		return s.NextPriorRevision()
 	}
 	// The sender of received knew an era between the two.
 	return 0
 }
 
+// NextPriorRevision returns the prior revision of s in the next era. It includes the prior
+// revision of s, so that a state that keeps what two restores have lost goes before one that
+// was read anew between them.
+func (s State) NextPriorRevision() uint64 {
+	return s.Revision + s.PriorRevision
+}
+
 // withWritten returns s with the parts of received that were written in its era. prior is the
 // revision up to which s knows the era before. If received does not list all parts that may
 // have been written, the result claims one revision less, so that it gives way to a state
@@ -84,13 +91,17 @@
 func (s State) withWritten(received State, prior uint64) State {
 	merged := s
 	merged.Era, merged.Revision, merged.PriorRevision = received.Era, received.Revision, prior
-	merged.Written, merged.WrittenFrom, merged.Exact = maps.Clone(received.Written), received.WrittenFrom, received.Exact
-	for part := range received.Written {
-		if s.Era != received.Era || received.Written[part] >= s.Written[part] {
+	merged.Written, merged.WrittenFrom, merged.WrittenComplete = maps.Clone(received.Written), received.WrittenFrom, received.WrittenComplete
+	for part, revision := range received.Written {
+		switch {
+		case s.Era == received.Era && revision < s.Written[part]:
+		case s.accepts(part, received):
 			merged.takePart(part, received)
+		default:
+			delete(merged.Written, part)
 		}
 	}
-	complete := received.Exact
+	complete := received.WrittenComplete
 	if s.Era == received.Era {
 		complete = complete || received.WrittenFrom <= s.Revision
 		merged.joinWritten(s, complete)
@@ -101,6 +112,23 @@
 	return merged
 }
 
+// accepts reports whether a part that received lists as written replaces that of s. The sender
+// of a state that is not complete may have taken a record of the copy, of which it did not know,
+// for a written one. It counts only if s does not know of it either, or if it takes a failure
+// domain out of service, which is safe.
+func (s State) accepts(part string, received State) bool {
+	revision := received.Written[part]
+	if s.Era == received.Era && s.WrittenComplete && revision < s.WrittenFrom {
+		return false
+	}
+	return received.WrittenComplete || revision >= min(received.WrittenFrom, s.Revision) || received.evacuates(part)
+}
+
+func (s State) evacuates(part string) bool {
+	domain, found := strings.CutPrefix(part, domainPartPrefix)
+	return found && slices.Contains(s.EvacuatedDomains, domain)
+}
+
 // joinWritten adds what was written according to s, an earlier state of the same era.
 // complete reports whether the two leave no gap.
 func (s *State) joinWritten(earlier State, complete bool) {
@@ -108,10 +136,14 @@
 		s.Written = map[string]uint64{}
 	}
 	for part, revision := range earlier.Written {
+		if s.WrittenComplete && revision < s.WrittenFrom {
+			// The copy has this record.
+			continue
+		}
 		s.Written[part] = max(s.Written[part], revision)
 	}
 	if complete {
-		s.Exact = s.Exact || earlier.Exact
+		s.WrittenComplete = s.WrittenComplete || earlier.WrittenComplete
 		s.WrittenFrom = min(s.WrittenFrom, earlier.WrittenFrom)
 	}
 }
