Tell callers of short surges to come back within a third of their time

Cause: Retry-After of a refusal by rate was a quarter to a half of the time that the caller has left, also when a token becomes due soon. Callers that give up at a third of it did not come back in two of three cases.

Change: while at most 0.3 of the customer's latest tries at the node were refused, Retry-After is a quarter to a third. Above that nothing changes. It is never less than the time of one token.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -17,7 +17,6 @@
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/logger"
 	"github.com/flamingotack/flamingotack/internal/meter"
-	"github.com/flamingotack/flamingotack/internal/retrier"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 	"github.com/flamingotack/flamingotack/internal/validator"
 )
@@ -38,7 +37,8 @@
 	Admitter struct {
 		Settings
 
-		roundRobin *weightedRoundRobin
+		roundRobin  *weightedRoundRobin
+		rateReturns *rateReturns
 	}
 
 	// Forwarder runs calls on nodes.
@@ -111,7 +111,7 @@
 
 // New returns an Admitter.
 func New(s Settings) *Admitter {
-	return &Admitter{Settings: s, roundRobin: newWeightedRoundRobin(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))}
+	return &Admitter{Settings: s, roundRobin: newWeightedRoundRobin(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), rateReturns: newRateReturns()}
 }
 
 // Handle runs a request and returns its response. Errors become responses too.
@@ -296,9 +296,8 @@
 // meet the latency objective.
 func (a *Admitter) rateRefusal(rc *resolvedCall) *exchanger.Refusal {
 	refusal := exchanger.NotRun(http.StatusTooManyRequests, exchanger.ReasonRate, "customer %q is over its rate", rc.customer.Name)
-	tokenInterval := time.Duration(float64(time.Second) / rc.customer.RatePerSecond)
-	spreadDelay := retrier.RetryAfter(rc.call.ObjectiveDeadline.Sub(a.Clock.Now()), rand.Float64())
-	refusal.RetryAfter = max(tokenInterval, spreadDelay)
+	now := a.Clock.Now()
+	refusal.RetryAfter = a.rateReturns.retryAfter(now, rc.customer.Name, rc.customer.RatePerSecond, rc.call.ObjectiveDeadline.Sub(now), rand.Float64())
 	return refusal
 }
 
@@ -338,7 +337,9 @@
 		}
 	}
 	if rc.customer != nil && rc.customer.RatePerSecond > 0 {
-		if !a.RateLimiter.Charge(ctx, rc.customer) {
+		charged := a.RateLimiter.Charge(ctx, rc.customer)
+		a.rateReturns.count(a.Clock.Now(), rc.customer.Name, !charged)
+		if !charged {
 			if !rc.call.Nested {
 				a.Forwarder.CancelAdmission(rc.call)
 			}
--- a/internal/retrier/retryafter.go
+++ b/internal/retrier/retryafter.go
@@ -16,6 +16,12 @@
 // time until its answer is late. The delay leaves time for the answer to be in time, and
 // is spread by random, a random number from 0 to below 1.
 func RetryAfter(timeLeft time.Duration, random float64) time.Duration {
-	fraction := minDelayFraction + (maxDelayFraction-minDelayFraction)*random
+	return RetryAfterWithin(timeLeft, maxDelayFraction, random)
+}
+
+// RetryAfterWithin is like RetryAfter with a delay of at most maxFraction of the time left, from
+// minDelayFraction to 1.
+func RetryAfterWithin(timeLeft time.Duration, maxFraction, random float64) time.Duration {
+	fraction := minDelayFraction + (maxFraction-minDelayFraction)*random
 	return time.Duration(float64(max(timeLeft, minTimeLeft)) * fraction)
 }
