Let the measured level of a server age while no runs come

Cause: the residual and the level of the run times decayed only in RecordRun. After 2 s of runs at three times the usual time, reported as 100, and then no runs, the estimate stayed at 239 % with age 0 for as long as polls brought a fresh figure, so senders avoided the server and nothing corrected it.

Change: both are decayed to the time at which they are read. The level has its full weight while the decayed number of its runs is at least 1, as is always so right after a run, and gives way to the reported figure below that.

TestMeasuredLevelAges fails without the change (230 % and 228 % 5 s after the last run, want 100) and passes with it.

--- a/internal/gauger/gauger.go
+++ b/internal/gauger/gauger.go
@@ -124,7 +124,7 @@
 		// lies below 0 for times that vary.
 		g.residual.add(now, residualDecayTime, ratio/(float64(g.workPercent)/fullPercent))
 	}
-	slowdown := float64(g.believedPercent()) / fullPercent
+	slowdown := float64(g.believedPercent(now)) / fullPercent
 	g.ownTime.add(now, speedDecayTime, seconds/slowdown)
 	usual.add(now, speedDecayTime, seconds/slowdown)
 }
@@ -140,7 +140,7 @@
 		return Estimate{}
 	}
 	return Estimate{
-		WorkPercent: g.believedPercent(),
+		WorkPercent: g.believedPercent(now),
 		Age:         max(0, now.Sub(g.workAt)),
 		OwnTime:     time.Duration(g.ownTime.mean() * float64(time.Second)),
 		Waiting:     g.figures.Waiting,
@@ -161,7 +161,7 @@
 // Judge returns how far the work figure agrees with measured run times.
 func (g *Gauger) Judge(now time.Time) Judgement {
 	switch {
-	case g.weight() >= distrustWeight:
+	case g.weight(now) >= distrustWeight:
 		return JudgementAgrees
 	case now.Sub(g.workChangedAt) >= frozenTime:
 		return JudgementFrozen
@@ -171,19 +171,22 @@
 }
 
 // believedPercent returns the reported figure, moved toward the measured level by as much as
-// it disagrees with measured run times.
-func (g *Gauger) believedPercent() int {
-	weight := g.weight()
+// it disagrees with measured run times. A level without a run for some levelDecayTime says
+// nothing about the instance at now, so it loses its weight to the reported figure.
+func (g *Gauger) believedPercent(now time.Time) int {
+	weight := g.weight(now)
 	if weight == 1 {
 		return g.workPercent
 	}
-	believed := weight*float64(g.workPercent) + (1-weight)*fullPercent*g.level.mean()
+	levelWeight := (1 - weight) * min(1, g.level.weightAt(now, levelDecayTime))
+	believed := (1-levelWeight)*float64(g.workPercent) + levelWeight*fullPercent*g.level.mean()
 	return min(max(int(math.Round(believed)), minWorkPercent), maxWorkPercent)
 }
 
-// weight returns the weight of the reported figure, from 0 to 1.
-func (g *Gauger) weight() float64 {
-	if g.residual.weight < minResidualRuns {
+// weight returns the weight of the reported figure at now, from 0 to 1. Disagreements count
+// only while at least minResidualRuns recent runs support them.
+func (g *Gauger) weight(now time.Time) float64 {
+	if g.residual.weightAt(now, residualDecayTime) < minResidualRuns {
 		return 1
 	}
 	difference := math.Abs(math.Log(max(g.residual.mean(), 1e-3)))
@@ -207,16 +210,22 @@
 
 // add adds a value. decayTime is the time in which its weight falls to 1/e.
 func (m *decayingMean) add(now time.Time, decayTime time.Duration, value float64) {
-	if elapsed := now.Sub(m.updatedAt); elapsed > 0 && m.weight > 0 {
-		factor := math.Exp(-elapsed.Seconds() / decayTime.Seconds())
-		m.sum *= factor
-		m.weight *= factor
+	if m.weight > 0 {
+		weight := m.weightAt(now, decayTime)
+		m.sum *= weight / m.weight
+		m.weight = weight
 	}
 	m.sum += value
 	m.weight++
 	m.updatedAt = now
 }
 
+// weightAt returns the decayed number of values at now.
+func (m *decayingMean) weightAt(now time.Time, decayTime time.Duration) float64 {
+	elapsed := max(0, now.Sub(m.updatedAt))
+	return m.weight * math.Exp(-elapsed.Seconds()/decayTime.Seconds())
+}
+
 // mean returns the mean; 0 without values.
 func (m *decayingMean) mean() float64 {
 	if m.weight == 0 {
--- a/internal/gauger/gauger_test.go
+++ b/internal/gauger/gauger_test.go
@@ -166,3 +166,24 @@
 		t.Errorf("got %+v, want work 180 %% of age 1s with 3 waiting", got)
 	}
 }
+
+// TestMeasuredLevelAges guards against a server that is avoided for as long as it gets no runs,
+// because its last ones took longer than it reported: without new runs, the estimate returns to
+// the reported figure.
+func TestMeasuredLevelAges(t *testing.T) {
+	for _, interval := range []time.Duration{2 * time.Millisecond, 20 * time.Millisecond} {
+		var g Gauger
+		random := rand.New(rand.NewPCG(1, 2))
+		run(&g, random, 0, 4*time.Second, interval, always(1), constant(100))
+		run(&g, random, 4*time.Second, 6*time.Second, interval, always(3), constant(100))
+		now := epoch.Add(6 * time.Second)
+		if got := g.Estimate(now).WorkPercent; got < 150 {
+			t.Errorf("a run every %s: got %d %% after slow runs, want at least 150 %%", interval, got)
+		}
+		now = now.Add(5 * time.Second)
+		g.Observe(now, Figures{Running: 1, Slots: 8, WorkPercent: 100})
+		if got := g.Estimate(now); got.WorkPercent != 100 || got.Age != 0 || g.Judge(now) != JudgementAgrees {
+			t.Errorf("a run every %s: got %+v, judgement %d 5 s after the last run, want 100 %% that agree", interval, got, g.Judge(now))
+		}
+	}
+}
