Leave the requests that wait at a server out of its expected wait

Cause: the node beside a server counts the requests that wait there among its running ones, and senders added the reported number again. The number had no age and was never compared with anything: a server that had reported 40 waiting requests got 0 of 12,000 calls an hour later, although its node had none running (its three neighbors got 3,547 to 3,619 each).

Change: the expected wait uses the load of the node alone, and nodes no longer send server_waiting.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -363,7 +363,6 @@
 		WorkAge:                l.WorkAge,
 		OwnTime:                l.OwnTime,
 		RunTime:                l.MeanServiceTime,
-		ServerWaiting:          l.ServerWaiting,
 	}
 }
 
--- a/internal/gauger/gauger.go
+++ b/internal/gauger/gauger.go
@@ -52,13 +52,9 @@
 )
 
 type (
-	// Gauger keeps the newest figures of a backend server and what its runs have shown. The
+	// Gauger keeps the newest work figure of a backend server and what its runs have shown. The
 	// zero value is ready to use. It is not safe for concurrent use.
 	Gauger struct {
-		// figures are the newest figures, received at figuresAt. figuresAt is zero before
-		// the first ones.
-		figures   Figures
-		figuresAt time.Time
 		// workAt is when figures with WorkPercent were received last, and workChangedAt
 		// when WorkPercent changed last.
 		workPercent           int
@@ -86,8 +82,6 @@
 		// OwnTime is the mean time of a run without its calls at the usual speed of the
 		// instance; 0 before the first run.
 		OwnTime time.Duration
-		// Waiting is the number of requests that wait at the server.
-		Waiting int
 	}
 
 	// decayingMean is a mean whose weights decay with age.
@@ -99,7 +93,6 @@
 
 // Observe records figures that the server has just reported.
 func (g *Gauger) Observe(now time.Time, f Figures) {
-	g.figures, g.figuresAt = f, now
 	if f.WorkPercent == 0 {
 		return
 	}
@@ -143,7 +136,6 @@
 		WorkPercent: g.believedPercent(now),
 		Age:         max(0, now.Sub(g.workAt)),
 		OwnTime:     time.Duration(g.ownTime.mean() * float64(time.Second)),
-		Waiting:     g.figures.Waiting,
 	}
 }
 
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -75,8 +75,6 @@
 		// OwnTime is the mean duration of a run without its calls at the usual speed of
 		// the instance; 0 if it is not known.
 		OwnTime time.Duration
-		// ServerWaiting is the number of requests that wait at the server itself.
-		ServerWaiting int
 	}
 
 	// Settings holds the dependencies of a Guardian.
--- a/internal/guardian/serverspeed.go
+++ b/internal/guardian/serverspeed.go
@@ -159,7 +159,7 @@
 	g.speed.mu.Lock()
 	defer g.speed.mu.Unlock()
 	e := g.speed.gauger.Estimate(g.Clock.Now())
-	report.WorkPercent, report.WorkAge, report.OwnTime, report.ServerWaiting = e.WorkPercent, e.Age, e.OwnTime, e.Waiting
+	report.WorkPercent, report.WorkAge, report.OwnTime = e.WorkPercent, e.Age, e.OwnTime
 }
 
 // restartSpeed forgets the speed of a former incarnation.
--- a/internal/linker/convert.go
+++ b/internal/linker/convert.go
@@ -111,7 +111,6 @@
 		WorkPercent:   int32(l.WorkPercent),
 		WorkAgeMicros: l.WorkAge.Microseconds(),
 		OwnMicros:     l.OwnTime.Microseconds(),
-		ServerWaiting: int32(l.ServerWaiting),
 	}
 }
 
@@ -202,7 +201,6 @@
 		WorkPercent:     int(m.GetWorkPercent()),
 		WorkAge:         validator.Micros(m.GetWorkAgeMicros()),
 		OwnTime:         validator.Micros(m.GetOwnMicros()),
-		ServerWaiting:   int(m.GetServerWaiting()),
 	}, nil
 }
 
--- a/internal/router/completion.go
+++ b/internal/router/completion.go
@@ -207,7 +207,7 @@
 	if runTime <= 0 {
 		runTime = work.ownTime + work.nestedTime
 	}
-	load := c.node.prospect.load + float64(c.node.report.ServerWaiting)
+	load := c.node.prospect.load
 	utilization := min(load/c.limit, maxQueueingUtilization)
 	wait := runTime / c.limit * math.Pow(utilization, math.Sqrt(2*(c.limit+1))-1) / (1 - utilization)
 	return wait + max(0, load+1-c.limit)*runTime/c.limit
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -98,8 +98,6 @@
 		// OwnTime is the mean time of a run without its calls at the usual speed of the
 		// instance, and RunTime that of a whole run; 0 if they are not known.
 		OwnTime, RunTime time.Duration
-		// ServerWaiting is the number of requests that wait at the server itself.
-		ServerWaiting int
 	}
 
 	// Request is what a choice depends on, besides the nodes. All but Priority is used only
