Poll the load of a server beside its health checks

Cause: polls of the load ran in the goroutine of the health checks. A poll without an answer lasts up to 1 s, and a health check that became necessary in that time waited for its end.

Change: polls have their own goroutine, which ends with Run.

Result: TestPollDoesNotDelayHealthCheck fails without the change in 3 of 3 runs (the health check is sent after the poll has ended, 1 s later) and passes with it in 10 of 10 under -race.

--- a/internal/guardian/availability.go
+++ b/internal/guardian/availability.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -28,15 +29,13 @@
 // Run checks the health of the backend server whenever its state is unknown, and polls its load
 // where answers are rare. It returns nil when ctx ends.
 func (g *Guardian) Run(ctx context.Context) error {
-	ticker := time.NewTicker(loadPollInterval)
-	defer ticker.Stop()
+	var polling sync.WaitGroup
+	polling.Go(func() { g.pollLoads(ctx) })
+	defer polling.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
-			g.pollLoadIfStale(ctx)
-			continue
 		case <-g.healthCheckNeeded:
 		}
 		for delay := minHealthCheckDelay; ctx.Err() == nil && g.needsHealthCheck(); delay = min(maxHealthCheckDelay, 2*delay) {
--- a/internal/guardian/serverspeed.go
+++ b/internal/guardian/serverspeed.go
@@ -66,6 +66,22 @@
 	return g.speed.polls.Load()
 }
 
+// pollLoads polls the load of the server where answers are rare, until ctx ends. It has its own
+// goroutine, as a poll without an answer lasts up to healthCheckTimeout, in which a health check
+// may become necessary.
+func (g *Guardian) pollLoads(ctx context.Context) {
+	ticker := time.NewTicker(loadPollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.pollLoadIfStale(ctx)
+		}
+	}
+}
+
 // pollLoadIfStale requests the health path if the server reports its work figure, the figure
 // is older than minPollAge and calls wait, run or are offered. Health checks cost a server
 // work, so it sends at most one in minPollAge, and none while the server is cold.
--- a/internal/guardian/serverspeed_test.go
+++ b/internal/guardian/serverspeed_test.go
@@ -1,8 +1,12 @@
 package guardian
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -141,3 +145,67 @@
 		})
 	}
 }
+
+// TestPollDoesNotDelayHealthCheck guards against a crash that is found late, and a server that
+// stays closed, because a poll of its load has no answer yet: a health check that becomes
+// necessary in the meantime is sent before the poll ends.
+func TestPollDoesNotDelayHealthCheck(t *testing.T) {
+	running, polled, finish := make(chan struct{}), make(chan net.Conn, 1), make(chan struct{})
+	pollOpen := make(chan bool, 1)
+	var healthChecks atomic.Int64
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Load", "1,0,8,170")
+		w.Header().Set("Instance", "s1")
+		switch {
+		case r.URL.Path == "/slow":
+			close(running)
+			<-finish
+		case r.URL.Path == "/health" && healthChecks.Add(1) == 1:
+			// The poll gets no answer. Its connection is taken over, as the HTTP server
+			// would notice its end only some time later.
+			connection, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Errorf("got error %v, want the connection of the poll", err)
+			}
+			polled <- connection
+			return
+		case r.URL.Path == "/health" && healthChecks.Load() == 2:
+			connection := <-polled
+			defer connection.Close()
+			err := connection.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+			if err == nil {
+				_, err = connection.Read(make([]byte, 1))
+			}
+			pollOpen <- errors.Is(err, os.ErrDeadlineExceeded)
+		}
+		writeSealed(w, r)
+	})
+	f.announce(8, 0)
+	f.HandleCall(t.Context(), f.newCall("1"))
+	c := f.newCall("2")
+	c.Target = "/slow"
+	ended := make(chan struct{}, 2)
+	go func() {
+		f.HandleCall(t.Context(), c)
+		ended <- struct{}{}
+	}()
+	<-running
+	f.clock.Advance(2 * time.Second)
+	ctx, stop := context.WithCancel(t.Context())
+	go func() {
+		if err := f.Run(ctx); err != nil {
+			t.Errorf("got error %v, want none", err)
+		}
+		ended <- struct{}{}
+	}()
+	connection := <-polled
+	f.handleDialError(errors.New("no connection"))
+	polled <- connection
+	if !<-pollOpen {
+		t.Error("the health check was sent after the poll had ended, want before")
+	}
+	close(finish)
+	stop()
+	<-ended
+	<-ended
+}
