Build the error about malformed load figures only for a log line

Change: ParseFigures returns a typed error that holds the values and formats them in Error.

TestMalformedFiguresAreCheap fails without the change and passes with it.

--- a/internal/gauger/figures.go
+++ b/internal/gauger/figures.go
@@ -1,9 +1,8 @@
 package gauger
 
 import (
+	"fmt"
 	"strings"
-
-	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -22,66 +21,93 @@
 	maxQuotedText = 60
 )
 
-// Figures are the numbers that a backend server reports about itself.
-type Figures struct {
-	// Running and Waiting are the numbers of requests that run and wait at the server.
-	Running, Waiting int
-	// Slots is the number of requests that it runs concurrently.
-	Slots int
-	// WorkPercent is the time that work takes on its instance at this moment, in percent
-	// of the usual time; 0 if the server does not report it.
-	WorkPercent int
+type (
+	// Figures are the numbers that a backend server reports about itself.
+	Figures struct {
+		// Running and Waiting are the numbers of requests that run and wait at the server.
+		Running, Waiting int
+		// Slots is the number of requests that it runs concurrently.
+		Slots int
+		// WorkPercent is the time that work takes on its instance at this moment, in percent
+		// of the usual time; 0 if the server does not report it.
+		WorkPercent int
+	}
+
+	// FiguresError describes text that does not hold well-formed figures. A faulty server
+	// sends such text with each answer, so its message is built only when it is asked for.
+	FiguresError struct {
+		// Text is the whole text.
+		Text string
+		// Count is the number of figures that were read, the one at fault included.
+		Count int
+		// Figure is the figure at fault, and Lowest and Highest bound the accepted ones.
+		// Highest is 0 if the number of figures is at fault.
+		Figure          string
+		Lowest, Highest int
+	}
+)
+
+// Error returns a message that quotes the beginning of the text.
+func (e *FiguresError) Error() string {
+	text := quoted(e.Text)
+	switch {
+	case e.Highest > 0:
+		return fmt.Sprintf("figures %s: figure %d is %s, want a decimal number from %d to %d", text, e.Count, quoted(e.Figure), e.Lowest, e.Highest)
+	case e.Count > maxFigures:
+		return fmt.Sprintf("figures %s: more than %d figures", text, maxFigures)
+	default:
+		return fmt.Sprintf("figures %s: %d figures, want %d or %d", text, e.Count, minFigures, maxFigures)
+	}
+}
+
+func quoted(text string) string {
+	return fmt.Sprintf("%q", text[:min(len(text), maxQuotedText)])
 }
 
 // ParseFigures parses three or four decimal numbers that are separated by commas. It returns
-// an error for any other text and for numbers out of range.
+// a *FiguresError for any other text and for numbers out of range.
 func ParseFigures(text string) (f Figures, err error) {
-	defer func() {
-		if err != nil {
-			f, err = Figures{}, errors.Wrapf(err, "figures %q", text[:min(len(text), maxQuotedText)])
-		}
-	}()
 	count := 0
 	for part := range strings.SplitSeq(text, ",") {
-		if count == maxFigures {
-			return f, errors.Newf("more than %d figures", maxFigures)
+		count++
+		if count > maxFigures {
+			return Figures{}, &FiguresError{Text: text, Count: count}
 		}
 		lowest, highest := 0, maxFigure
 		destination := &f.WorkPercent
 		switch count {
-		case 0:
-			destination = &f.Running
 		case 1:
-			destination = &f.Waiting
+			destination = &f.Running
 		case 2:
+			destination = &f.Waiting
+		case 3:
 			destination, lowest = &f.Slots, 1
 		default:
 			lowest, highest = minWorkPercent, maxWorkPercent
 		}
-		if *destination, err = parseFigure(strings.Trim(part, " \t"), lowest, highest); err != nil {
-			return f, err
+		figure := strings.Trim(part, " \t")
+		value, ok := parseFigure(figure)
+		if !ok || value < lowest || value > highest {
+			return Figures{}, &FiguresError{Text: text, Count: count, Figure: figure, Lowest: lowest, Highest: highest}
 		}
-		count++
+		*destination = value
 	}
 	if count < minFigures {
-		return f, errors.Newf("%d figures, want %d or %d", count, minFigures, maxFigures)
+		return Figures{}, &FiguresError{Text: text, Count: count}
 	}
 	return f, nil
 }
 
-// parseFigure parses a number of decimal digits without a sign.
-func parseFigure(text string, lowest, highest int) (value int, err error) {
+// parseFigure parses a number of 1 to maxDigits decimal digits without a sign.
+func parseFigure(text string) (value int, ok bool) {
 	if text == "" || len(text) > maxDigits {
-		return 0, errors.Newf("a figure has %d digits, want 1 to %d", len(text), maxDigits)
+		return 0, false
 	}
 	for _, digit := range []byte(text) {
 		if digit < '0' || digit > '9' {
-			return 0, errors.Newf("%q is not a decimal number", text)
+			return 0, false
 		}
 		value = 10*value + int(digit-'0')
 	}
-	if value < lowest || value > highest {
-		return 0, errors.Newf("%d is not from %d to %d", value, lowest, highest)
-	}
-	return value, nil
+	return value, true
 }
--- a/internal/gauger/gauger_test.go
+++ b/internal/gauger/gauger_test.go
@@ -52,6 +52,33 @@
 	}
 }
 
+// TestMalformedFiguresAreCheap guards against a server whose malformed header costs its node more
+// than a well-formed one with each answer: the text of the error is built only for a log line.
+func TestMalformedFiguresAreCheap(t *testing.T) {
+	for _, text := range []string{"nan", "3,1", "3,1,16,100,2", "3,1,0,100", strings.Repeat("7", 40)} {
+		if got := testing.AllocsPerRun(100, func() { _, _ = ParseFigures(text) }); got > 1 {
+			t.Errorf("%q: got %.0f allocations, want at most 1", text, got)
+		}
+	}
+}
+
+// TestFiguresError checks that the message names the value at fault and what was expected.
+func TestFiguresError(t *testing.T) {
+	tests := []struct{ text, want string }{
+		{"nan", `figures "nan": figure 1 is "nan", want a decimal number from 0 to 100000`},
+		{"3,1,0,100", `figures "3,1,0,100": figure 3 is "0", want a decimal number from 1 to 100000`},
+		{"3,1,16,9", `figures "3,1,16,9": figure 4 is "9", want a decimal number from 10 to 5000`},
+		{"3,1", `figures "3,1": 2 figures, want 3 or 4`},
+		{"3,1,16,100,2", `figures "3,1,16,100,2": more than 4 figures`},
+		{strings.Repeat("7", 90), `figures "` + strings.Repeat("7", 60) + `": figure 1 is "` + strings.Repeat("7", 60) + `", want a decimal number from 0 to 100000`},
+	}
+	for _, tt := range tests {
+		if _, err := ParseFigures(tt.text); err == nil || err.Error() != tt.want {
+			t.Errorf("%q: got error %v, want %s", tt.text, err, tt.want)
+		}
+	}
+}
+
 // FuzzFigures checks that figures are in range whatever the text is.
 func FuzzFigures(f *testing.F) {
 	f.Fuzz(func(t *testing.T, text string) {
@@ -187,3 +214,14 @@
 		}
 	}
 }
+
+func BenchmarkParseFigures(b *testing.B) {
+	for _, text := range []string{"3,1,8,170", "nan"} {
+		b.Run(text, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = ParseFigures(text)
+			}
+		})
+	}
+}
