Ignore load figures of an answer that names another server

Cause: only answers with status 421 were taken as those of another server at the address. A health check or an answer that named another server, such as one that had just replaced this one, set the figures of this one.

Change: where an answer names the server that gave it, the name is compared. Answers that name none count as before.

Result: the new cases of TestServerLoadIsReported fail without the change and pass with it.

--- a/internal/guardian/serverspeed.go
+++ b/internal/guardian/serverspeed.go
@@ -115,12 +115,16 @@
 }
 
 // observeServerLoad records the load that a response of the backend server reports. An answer
-// from another server at the address does not count.
+// from another server at the address does not count, whether it names itself or refuses the
+// request as misdirected.
 func (g *Guardian) observeServerLoad(r *invoker.Response) {
 	text := r.Header.Get(g.HeaderNames.ServerLoad)
 	if text == "" || r.Status == http.StatusMisdirectedRequest {
 		return
 	}
+	if id := r.Header.Get(g.HeaderNames.Instance); id != "" && id != g.instanceID() {
+		return
+	}
 	figures, err := gauger.ParseFigures(text)
 	now := g.Clock.Now()
 	s := &g.speed
--- a/internal/guardian/serverspeed_test.go
+++ b/internal/guardian/serverspeed_test.go
@@ -16,34 +16,41 @@
 // with their age, that malformed ones are counted and change nothing, and that answers of
 // another server at the address do not count.
 func TestServerLoadIsReported(t *testing.T) {
-	var header atomic.Value
+	var header, instance atomic.Value
 	var status atomic.Int64
 	status.Store(http.StatusOK)
 	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Load", header.Load().(string))
+		w.Header().Set("Instance", instance.Load().(string))
 		w.Header().Set("Seal", "s")
 		w.WriteHeader(int(status.Load()))
 	})
 	tests := []struct {
 		name, load string
 		status     int
+		// instance is the server that the answer names.
+		instance string
 		// wantPercent and wantMalformed are those after the answer, and
 		// wantAge is the age of the figure 300 ms later.
 		wantPercent   int
 		wantMalformed int64
 		wantAge       time.Duration
 	}{
-		{"no work figure", "1,4,8", http.StatusOK, 0, 0, 0},
-		{"figures", "1,4,8,170", http.StatusOK, 170, 0, 300 * time.Millisecond},
-		{"garbage", "nan", http.StatusOK, 170, 1, 600 * time.Millisecond},
-		{"many digits", "1,4,8,9999999999999999999999999999999999999999", http.StatusOK, 170, 2, 900 * time.Millisecond},
-		{"work figure is missing", "1,5,8", http.StatusOK, 170, 2, 1200 * time.Millisecond},
-		{"error of the server", "1,6,8,250", http.StatusInternalServerError, 250, 2, 300 * time.Millisecond},
-		{"another server", "1,7,8,100", http.StatusMisdirectedRequest, 250, 2, 600 * time.Millisecond},
+		{"no work figure", "1,4,8", http.StatusOK, "", 0, 0, 0},
+		{"figures", "1,4,8,170", http.StatusOK, "", 170, 0, 300 * time.Millisecond},
+		{"garbage", "nan", http.StatusOK, "", 170, 1, 600 * time.Millisecond},
+		{"many digits", "1,4,8,9999999999999999999999999999999999999999", http.StatusOK, "", 170, 2, 900 * time.Millisecond},
+		{"work figure is missing", "1,5,8", http.StatusOK, "", 170, 2, 1200 * time.Millisecond},
+		{"error of the server", "1,6,8,250", http.StatusInternalServerError, "", 250, 2, 300 * time.Millisecond},
+		{"another server that names itself", "1,8,8,100", http.StatusOK, "s2", 250, 2, 600 * time.Millisecond},
+		{"garbage of another server", "nan", http.StatusOK, "s2", 250, 2, 900 * time.Millisecond},
+		{"the server names itself", "1,8,8,120", http.StatusOK, "s1", 120, 2, 300 * time.Millisecond},
+		{"misdirected to another server", "1,7,8,100", http.StatusMisdirectedRequest, "", 120, 2, 600 * time.Millisecond},
 	}
 	f.announce(8, 0)
 	for i, tt := range tests {
 		header.Store(tt.load)
+		instance.Store(tt.instance)
 		status.Store(int64(tt.status))
 		f.HandleCall(t.Context(), f.newCall(fmt.Sprint(i)))
 		f.clock.Advance(300 * time.Millisecond)
