Compute the mean times of routes at most once a second

Cause: each report of fan-outs by any node cleared the cache, and each refill walks the fan-outs of all nodes, once for each route. Clearing only on a difference would not help much, as nodes send fan-outs only when they differ.

Change: the cache is cleared once a second, when a call needs it.

Result: TestRouteTimesAreRefreshedAtAnInterval fails without the change (the run time follows a report 500 ms after the last computation) and passes with it.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -37,6 +37,10 @@
 	// caller should wait when no server takes requests and when all are full.
 	minClosedRetryAfter   = 400 * time.Millisecond
 	minOverloadRetryAfter = 800 * time.Millisecond
+	// routeTimesInterval is the time after which the mean times of routes are computed
+	// anew. Each takes a walk over the fan-outs of all nodes, of which one or another
+	// reports changes all the time.
+	routeTimesInterval = time.Second
 )
 
 type (
@@ -74,7 +78,9 @@
 		callTrees      map[callEdge]map[callEdge]edgeCalls
 		callTreesTable *director.Table
 		// routeTimes caches the mean times of the runs of routes that result from fanOuts.
-		routeTimes map[string]time.Duration
+		// It was cleared last at routeTimesClearedAt.
+		routeTimes          map[string]time.Duration
+		routeTimesClearedAt time.Time
 		// workReported holds the services any of whose servers has reported its work
 		// figure.
 		workReported map[string]bool
@@ -180,7 +186,6 @@
 	defer f.mu.Unlock()
 	f.fanOuts[m.Name] = fanOuts
 	clear(f.callTrees)
-	clear(f.routeTimes)
 }
 
 // UpdateLoad records the load that a node reports for its backend server. A report
@@ -215,16 +220,20 @@
 func (f *Forwarder) routerRequest(now time.Time, c *exchanger.Call) router.Request {
 	request := router.Request{Priority: c.Priority}
 	if f.workReported[c.Service] {
-		request.RunTime = f.routeTime(c.Route)
+		request.RunTime = f.routeTime(now, c.Route)
 		request.ObjectiveIn = c.ObjectiveDeadline.Sub(now)
 		request.Unrepeatable = !c.Idempotent
 	}
 	return request
 }
 
-// routeTime returns the mean time of a run of a route; 0 if it is not known. The caller must
-// hold f.mu.
-func (f *Forwarder) routeTime(route string) time.Duration {
+// routeTime returns the mean time of a run of a route, as known within the last
+// routeTimesInterval; 0 if it is not known. The caller must hold f.mu.
+func (f *Forwarder) routeTime(now time.Time, route string) time.Duration {
+	if now.Sub(f.routeTimesClearedAt) >= routeTimesInterval {
+		f.routeTimesClearedAt = now
+		clear(f.routeTimes)
+	}
 	known, found := f.routeTimes[route]
 	if !found {
 		known = f.meanServiceTime(route)
--- a/internal/forwarder/uneven_test.go
+++ b/internal/forwarder/uneven_test.go
@@ -7,6 +7,7 @@
 	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/guardian"
+	"github.com/flamingotack/flamingotack/internal/linker"
 )
 
 // TestWorkFigureDecidesOnNode guards against reports whose work figure does not reach the
@@ -70,3 +71,23 @@
 		t.Errorf("got %+v, want an objective in 1s and no retries", got)
 	}
 }
+
+// TestRouteTimesAreRefreshedAtAnInterval guards against a walk over the fan-outs of all nodes for
+// each call, where many nodes report theirs all the time.
+func TestRouteTimesAreRefreshedAtAnInterval(t *testing.T) {
+	f, l := newFixture(t, 1)
+	f.UpdateLoad(l.members[0], guardian.LoadReport{Sequence: 1, Limit: 8, WorkPercent: 100})
+	now, c := time.Now(), newCall(true)
+	for _, tt := range []struct {
+		after, reported, want time.Duration
+	}{
+		{0, 50 * time.Millisecond, 50 * time.Millisecond},
+		{routeTimesInterval / 2, 80 * time.Millisecond, 50 * time.Millisecond},
+		{routeTimesInterval, 90 * time.Millisecond, 90 * time.Millisecond},
+	} {
+		f.UpdateFanOuts(l.members[0], map[string]linker.FanOut{c.Route: {Runs: 100, ServiceTime: tt.reported}})
+		if got := f.routerRequest(now.Add(tt.after), c).RunTime; got != tt.want {
+			t.Errorf("%s after the first call: got a run time of %s, want %s", tt.after, got, tt.want)
+		}
+	}
+}
