--- a/internal/router/uneven_test.go
+++ b/internal/router/uneven_test.go
@@ -54,7 +54,10 @@
 // TestWorkFiguresShortenCalls guards against calls that go to slow servers although faster ones
 // have room. For each pattern and age of the reports, callers get answers earlier than without
 // the figures, in the mean of all crowds, and no crowd gets answers more than 2 % later. A
-// report that is as old as a slow phase lasts says so little that the crowds differ by chance.
+// report that is as old as a slow phase lasts says so little that a crowd may be later by chance:
+// over 8 seeds with 59 senders, the ratio of the means with and without figures has a standard
+// deviation of up to 1.1 %, and the least gain is 0.7 % (one slow server, reports every 500 ms).
+// So 2 % is about three standard deviations above the mean of that pattern.
 func TestWorkFiguresShortenCalls(t *testing.T) {
 	patterns := []struct {
 		name   string
@@ -158,13 +161,12 @@
 		}},
 		{"slow servers report less", func(_ int, _ time.Duration, factor float64) int { return int(130 - 30*factor) }},
 	}
-	for _, interval := range []time.Duration{20 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond} {
-		l := newUnevenLoad(59, interval)
+	forEachCrowd(t, func(t *testing.T, l unevenLoad) {
 		l.factor, l.silent = slowPhases, true
 		without := l.simulate(1)
 		l.silent = false
 		for _, tt := range tests {
-			t.Run(fmt.Sprintf("%s, reports every %s", tt.name, interval), func(t *testing.T) {
+			t.Run(tt.name, func(t *testing.T) {
 				l.told = tt.told
 				got := l.simulate(1)
 				t.Logf("with figures %s, without %s", got, without)
@@ -173,7 +175,7 @@
 				}
 			})
 		}
-	}
+	})
 }
 
 // TestObjectiveDecidesOnDistance checks that calls stay in their failure domain while it ends
--- a/internal/router/unevenload_test.go
+++ b/internal/router/unevenload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -51,6 +52,8 @@
 type (
 	simulatedServer struct {
 		running []simulatedCall
+		// nextEnd is when the first of the running calls ends, if there are any.
+		nextEnd time.Duration
 		queue   []simulatedCall
 		runTime float64
 		gauger  gauger.Gauger
@@ -62,10 +65,11 @@
 		started time.Duration
 		work    float64
 	}
-	pendingReport struct {
+	// pendingReports are the reports that a server sends at the same time.
+	pendingReports struct {
 		arrivesAt time.Duration
-		sender    int
 		server    int
+		senders   []int
 		report    Report
 	}
 )
@@ -94,37 +98,43 @@
 		servers[i].runTime = simulatedWork.Seconds() * l.speedOf(i)
 	}
 	result.calls = make([]int, l.servers)
-	var pending []pendingReport
+	var pending []pendingReports
 	var times []time.Duration
 	local, waited, sequence := 0, 0, uint64(0)
 	perStep := l.utilization * float64(l.servers*l.slots) * simulatedStep.Seconds() / simulatedWork.Seconds()
 	calls := 0.0
 	due := l.periodicReports()
-	report := func(now time.Duration, sender, server int) {
+	report := func(now time.Duration, p pendingReports) {
 		sequence++
-		s := &servers[server]
-		r := Report{
+		s := &servers[p.server]
+		p.arrivesAt = now + l.reportDelay
+		p.report = Report{
 			Incarnation: "1", Sequence: sequence, Limit: l.slots, Running: len(s.running), Queued: len(s.queue),
 			LowestAdmittedPriority: exchanger.PriorityLow, RunTime: time.Duration(s.runTime * float64(time.Second)),
 		}
 		if !l.silent {
 			e := s.gauger.Estimate(epoch.Add(now))
-			r.WorkPercent, r.WorkAge, r.OwnTime = e.WorkPercent, e.Age, e.OwnTime
+			p.report.WorkPercent, p.report.WorkAge, p.report.OwnTime = e.WorkPercent, e.Age+l.reportDelay, e.OwnTime
 		}
-		pending = append(pending, pendingReport{now + l.reportDelay, sender, server, r})
+		pending = append(pending, p)
 	}
 	for now := time.Duration(0); now < simulatedTime; now += simulatedStep {
 		at := epoch.Add(now)
 		for i := range servers {
 			s := &servers[i]
+			if len(s.running) == 0 || s.nextEnd > now {
+				continue
+			}
 			s.running = slices.DeleteFunc(s.running, func(c simulatedCall) bool {
 				if c.endsAt > now {
 					return false
 				}
 				routers[c.sender].RecordOutcome(at, all[i].Name, OutcomeAnswered, 0)
 				s.runTime += 0.1 * ((c.endsAt - c.started).Seconds() - s.runTime)
-				s.gauger.Observe(at, gauger.Figures{WorkPercent: l.toldBy(i, now)})
-				s.gauger.RecordRun(at, "route", c.endsAt-c.started)
+				if !l.silent {
+					s.gauger.Observe(at, gauger.Figures{WorkPercent: l.toldBy(i, now)})
+					s.gauger.RecordRun(at, "route", c.endsAt-c.started)
+				}
 				if c.sentAt >= simulatedWarmup {
 					times = append(times, now-c.sentAt)
 					result.calls[i]++
@@ -137,15 +147,17 @@
 				}
 				return true
 			})
+			s.updateNextEnd()
 			l.startQueued(s, i, now)
 		}
 		for _, p := range due[now%l.reportInterval/simulatedStep] {
-			report(now, p.sender, p.server)
+			report(now, p)
 		}
 		for len(pending) > 0 && pending[0].arrivesAt <= now {
 			p := &pending[0]
-			p.report.WorkAge += l.reportDelay
-			routers[p.sender].Report(at, all[p.server].Name, p.report)
+			for _, sender := range p.senders {
+				routers[sender].Report(at, all[p.server].Name, p.report)
+			}
 			pending = pending[1:]
 		}
 		for calls += perStep; calls >= random.Float64(); calls-- {
@@ -172,12 +184,17 @@
 }
 
 // periodicReports returns the reports of each step of the interval, spread evenly.
-func (l *unevenLoad) periodicReports() [][]pendingReport {
-	due := make([][]pendingReport, l.reportInterval/simulatedStep)
+func (l *unevenLoad) periodicReports() [][]pendingReports {
+	due := make([][]pendingReports, l.reportInterval/simulatedStep)
 	for server := range l.servers {
 		for sender := range l.senders {
 			step := (server*131 + sender*17) % len(due)
-			due[step] = append(due[step], pendingReport{sender: sender, server: server})
+			last := len(due[step]) - 1
+			if last < 0 || due[step][last].server != server {
+				due[step] = append(due[step], pendingReports{server: server})
+				last++
+			}
+			due[step][last].senders = append(due[step][last].senders, sender)
 		}
 	}
 	return due
@@ -191,6 +208,14 @@
 		c.started = now
 		c.endsAt = now + l.runTime(server, now, c.work)
 		s.running = append(s.running, c)
+		s.updateNextEnd()
+	}
+}
+
+func (s *simulatedServer) updateNextEnd() {
+	s.nextEnd = math.MaxInt64
+	for i := range s.running {
+		s.nextEnd = min(s.nextEnd, s.running[i].endsAt)
 	}
 }
 
