Test useless figures in reports that are 1.5 s and 3.7 s old

Change: TestUselessFiguresInOldReportsDoNoHarm runs the no-harm test with 16, 59 and 300 senders at both intervals. Simulated warm-up and time span at least two intervals of reports; the results of the shorter ones are unchanged.

--- a/internal/router/uneven_test.go
+++ b/internal/router/uneven_test.go
@@ -9,6 +9,9 @@
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 )
 
+// usualIntervals are the tested intervals of reports in milliseconds.
+var usualIntervals = []time.Duration{20, 100, 500}
+
 // domainPhases returns a factor that is 2.2 in the third failure domain's servers for one of
 // three seconds.
 func domainPhases(server int, at time.Duration) float64 {
@@ -40,10 +43,10 @@
 	}
 }
 
-// forEachCrowd runs a test for numbers of senders and ages of reports.
-func forEachCrowd(t *testing.T, test func(t *testing.T, l unevenLoad)) {
+// forEachCrowd runs a test for numbers of senders and for intervals of reports in milliseconds.
+func forEachCrowd(t *testing.T, intervals []time.Duration, test func(t *testing.T, l unevenLoad)) {
 	for _, senders := range []int{16, 59, 300} {
-		for _, interval := range []time.Duration{20, 100, 500} {
+		for _, interval := range intervals {
 			t.Run(fmt.Sprintf("%d senders, %d ms", senders, interval), func(t *testing.T) {
 				test(t, newUnevenLoad(senders, interval*time.Millisecond))
 			})
@@ -72,7 +75,7 @@
 	for _, p := range patterns {
 		t.Run(p.name, func(t *testing.T) {
 			with, without := map[time.Duration]time.Duration{}, map[time.Duration]time.Duration{}
-			forEachCrowd(t, func(t *testing.T, l unevenLoad) {
+			forEachCrowd(t, usualIntervals, func(t *testing.T, l unevenLoad) {
 				l.factor, l.speed = p.factor, p.speed
 				got := l.simulate(1)
 				l.silent = true
@@ -119,7 +122,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			forEachCrowd(t, func(t *testing.T, l unevenLoad) {
+			forEachCrowd(t, usualIntervals, func(t *testing.T, l unevenLoad) {
 				l.utilization, l.factor, l.speed = 0.6/slowdown, tt.factor, tt.speed
 				got := l.simulate(1)
 				l.silent = true
@@ -144,6 +147,17 @@
 // TestUselessFiguresDoNoHarm guards against figures that are frozen, missing or false: callers
 // get answers at most a tenth later than without any figures.
 func TestUselessFiguresDoNoHarm(t *testing.T) {
+	forEachCrowd(t, usualIntervals, testUselessFigures)
+}
+
+// TestUselessFiguresInOldReportsDoNoHarm guards against the same where reports are so rare that a
+// work figure is worth almost nothing for most of the time: nodes without answers to send report
+// every 1.5 s, and less often if they have many inbound links.
+func TestUselessFiguresInOldReportsDoNoHarm(t *testing.T) {
+	forEachCrowd(t, []time.Duration{1500, 3700}, testUselessFigures)
+}
+
+func testUselessFigures(t *testing.T, l unevenLoad) {
 	tests := []struct {
 		name string
 		told func(server int, at time.Duration, factor float64) int
@@ -161,21 +175,19 @@
 		}},
 		{"slow servers report less", func(_ int, _ time.Duration, factor float64) int { return int(130 - 30*factor) }},
 	}
-	forEachCrowd(t, func(t *testing.T, l unevenLoad) {
-		l.factor, l.silent = slowPhases, true
-		without := l.simulate(1)
-		l.silent = false
-		for _, tt := range tests {
-			t.Run(tt.name, func(t *testing.T) {
-				l.told = tt.told
-				got := l.simulate(1)
-				t.Logf("with figures %s, without %s", got, without)
-				if most := without.mean * 11 / 10; got.mean > most {
-					t.Errorf("got mean %s, want at most %s", got.mean, most)
-				}
-			})
-		}
-	})
+	l.factor, l.silent = slowPhases, true
+	without := l.simulate(1)
+	l.silent = false
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l.told = tt.told
+			got := l.simulate(1)
+			t.Logf("with figures %s, without %s", got, without)
+			if most := without.mean * 11 / 10; got.mean > most {
+				t.Errorf("got mean %s, want at most %s", got.mean, most)
+			}
+		})
+	}
 }
 
 // TestObjectiveDecidesOnDistance checks that calls stay in their failure domain while it ends
--- a/internal/router/unevenload_test.go
+++ b/internal/router/unevenload_test.go
@@ -77,14 +77,17 @@
 const (
 	simulatedStep    = time.Millisecond
 	simulatedWork    = 60 * time.Millisecond
-	simulatedTime    = 6 * time.Second
 	simulatedWarmup  = 2 * time.Second
+	simulatedTime    = 4 * time.Second
 	simulatedDomains = 3
 )
 
-// simulate runs the load and returns what callers get after the warm-up.
+// simulate runs the load and returns what callers get after the warm-up. The warm-up and the time
+// after it each span at least two intervals of reports.
 func (l *unevenLoad) simulate(seed uint64) (result unevenResult) {
 	random := rand.New(rand.NewPCG(seed, 7))
+	warmup := max(simulatedWarmup, 2*l.reportInterval)
+	end := warmup + max(simulatedTime, 2*l.reportInterval)
 	routers := make([]*Router, l.senders)
 	for i := range routers {
 		routers[i] = &Router{Domain: fmt.Sprint("d", i%simulatedDomains), Region: "r", SpilloverUtilization: 0.95}
@@ -118,7 +121,7 @@
 		}
 		pending = append(pending, p)
 	}
-	for now := time.Duration(0); now < simulatedTime; now += simulatedStep {
+	for now := time.Duration(0); now < end; now += simulatedStep {
 		at := epoch.Add(now)
 		for i := range servers {
 			s := &servers[i]
@@ -135,7 +138,7 @@
 					s.gauger.Observe(at, gauger.Figures{WorkPercent: l.toldBy(i, now)})
 					s.gauger.RecordRun(at, "route", c.endsAt-c.started)
 				}
-				if c.sentAt >= simulatedWarmup {
+				if c.sentAt >= warmup {
 					times = append(times, now-c.sentAt)
 					result.calls[i]++
 					if c.started > c.sentAt {
@@ -166,7 +169,7 @@
 			i := index[c.Name]
 			servers[i].queue = append(servers[i].queue, simulatedCall{sender: sender, sentAt: now, work: simulatedWork.Seconds() * (0.5 + random.Float64())})
 			l.startQueued(&servers[i], i, now)
-			if now >= simulatedWarmup {
+			if now >= warmup {
 				result.peak = max(result.peak, len(servers[i].queue)+len(servers[i].running))
 			}
 		}
