--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -17,7 +17,7 @@
 		{"flamingotack.unbegun", "Requests that were not begun, as their callers had left.", n.acceptor.AbandonedRequests.Load},
 		{"flamingotack.repeats", "Calls that were sent to another node after the first one.", n.forwarder.Retries.Load},
 		{"flamingotack.server.loads.malformed", "Answers of the backend server whose load figures could not be parsed.", n.guardian.MalformedLoads},
-		{"flamingotack.server.loads.disbelieved", "Times at which the work figure of the backend server ceased to agree with measured run times.", n.guardian.DisbelievedLoads},
+		{"flamingotack.server.loads.rejected", "Times at which the work figure of the backend server ceased to agree with measured run times.", n.guardian.RejectedLoads},
 		{"flamingotack.server.loads.polled", "Health checks that were sent to the backend server for its load alone.", n.guardian.LoadPolls},
 		{"flamingotack.runs", "Calls that were sent to the backend server.", n.guardian.CallsSent.Load},
 	} {
--- a/internal/gauger/gauger.go
+++ b/internal/gauger/gauger.go
@@ -60,7 +60,7 @@
 		workPercent           int
 		workAt, workChangedAt time.Time
 
-		// ownTime is the mean time of a run, divided by the believed slowdown.
+		// ownTime is the mean time of a run, divided by the corrected slowdown.
 		ownTime decayingMean
 		// routes holds the same mean by route.
 		routes map[string]*decayingMean
@@ -75,7 +75,7 @@
 
 	// Estimate describes the speed of a backend server.
 	Estimate struct {
-		// WorkPercent is the believed time that work takes, in percent of the usual time;
+		// WorkPercent is the corrected time that work takes, in percent of the usual time;
 		// 0 if the server does not report it. Age is the age of the report.
 		WorkPercent int
 		Age         time.Duration
@@ -117,7 +117,7 @@
 		// lies below 0 for times that vary.
 		g.residual.add(now, residualDecayTime, ratio/(float64(g.workPercent)/fullPercent))
 	}
-	slowdown := float64(g.believedPercent(now)) / fullPercent
+	slowdown := float64(g.correctedPercent(now)) / fullPercent
 	g.ownTime.add(now, speedDecayTime, seconds/slowdown)
 	usual.add(now, speedDecayTime, seconds/slowdown)
 }
@@ -133,7 +133,7 @@
 		return Estimate{}
 	}
 	return Estimate{
-		WorkPercent: g.believedPercent(now),
+		WorkPercent: g.correctedPercent(now),
 		Age:         max(0, now.Sub(g.workAt)),
 		OwnTime:     time.Duration(g.ownTime.mean() * float64(time.Second)),
 	}
@@ -162,17 +162,17 @@
 	}
 }
 
-// believedPercent returns the reported figure, moved toward the measured level by as much as
+// correctedPercent returns the reported figure, moved toward the measured level by as much as
 // it disagrees with measured run times. A level without a run for some levelDecayTime says
 // nothing about the instance at now, so it loses its weight to the reported figure.
-func (g *Gauger) believedPercent(now time.Time) int {
+func (g *Gauger) correctedPercent(now time.Time) int {
 	weight := g.weight(now)
 	if weight == 1 {
 		return g.workPercent
 	}
 	levelWeight := (1 - weight) * min(1, g.level.weightAt(now, levelDecayTime))
-	believed := (1-levelWeight)*float64(g.workPercent) + levelWeight*fullPercent*g.level.mean()
-	return min(max(int(math.Round(believed)), minWorkPercent), maxWorkPercent)
+	corrected := (1-levelWeight)*float64(g.workPercent) + levelWeight*fullPercent*g.level.mean()
+	return min(max(int(math.Round(corrected)), minWorkPercent), maxWorkPercent)
 }
 
 // weight returns the weight of the reported figure at now, from 0 to 1. Disagreements count
--- a/internal/gauger/gauger_test.go
+++ b/internal/gauger/gauger_test.go
@@ -126,7 +126,7 @@
 }
 
 // TestJudgement guards against figures that do not agree with measured run times: they lose
-// their weight, and the believed figure is near the measured one. The learned time is that of
+// their weight, and the corrected figure is near the measured one. The learned time is that of
 // the server itself.
 func TestJudgement(t *testing.T) {
 	tests := []struct {
@@ -134,7 +134,7 @@
 		factor func(time.Duration) float64
 		told   func(time.Duration) int
 		want   Judgement
-		// least and most bound the believed figure times the learned time, relative to
+		// least and most bound the corrected figure times the learned time, relative to
 		// the true time of a run.
 		least, most float64
 	}{
@@ -164,7 +164,7 @@
 	}
 }
 
-// TestServerBecomesTrustworthyAgain guards against a figure that stays disbelieved once it
+// TestServerBecomesTrustworthyAgain guards against a figure that stays rejected once it
 // agrees again.
 func TestServerBecomesTrustworthyAgain(t *testing.T) {
 	var g Gauger
--- a/internal/guardian/serverspeed.go
+++ b/internal/guardian/serverspeed.go
@@ -26,9 +26,9 @@
 // speedMonitor keeps what the backend server reports about its load and what its runs show
 // about its speed. It is safe for concurrent use.
 type speedMonitor struct {
-	// malformed and disbelieved count the reports that could not be parsed and the times
+	// malformed and rejected count the reports that could not be parsed and the times
 	// at which reports ceased to agree with measured run times.
-	malformed, disbelieved atomic.Int64
+	malformed, rejected atomic.Int64
 	// polls counts the health checks that were sent for the load alone.
 	polls atomic.Int64
 
@@ -47,13 +47,13 @@
 	return g.speed.malformed.Load()
 }
 
-// DisbelievedLoads returns how often the work figure of the server ceased to agree with
+// RejectedLoads returns how often the work figure of the server ceased to agree with
 // measured run times.
-func (g *Guardian) DisbelievedLoads() int64 {
-	return g.speed.disbelieved.Load()
+func (g *Guardian) RejectedLoads() int64 {
+	return g.speed.rejected.Load()
 }
 
-// WorkPercent returns the believed time that work takes on the instance, in percent of the
+// WorkPercent returns the corrected time that work takes on the instance, in percent of the
 // usual time; 0 if the server does not report it.
 func (g *Guardian) WorkPercent() int64 {
 	g.speed.mu.Lock()
@@ -156,7 +156,7 @@
 		return
 	}
 	if m.judgement == gauger.JudgementAgrees {
-		m.disbelieved.Add(1)
+		m.rejected.Add(1)
 	}
 	m.judgement = judgement
 	if s.EndedAt.Sub(m.judgementLoggedAt) < speedLogInterval {
@@ -166,11 +166,11 @@
 	reported, measured := m.gauger.ReportedPercent(), m.gauger.MeasuredPercent()
 	switch judgement {
 	case gauger.JudgementAgrees:
-		g.Logger.Infof("work figure of the backend server believed again: reported %d %%, measured %d %%", reported, measured)
+		g.Logger.Infof("work figure of the backend server accepted again: reported %d %%, measured %d %%", reported, measured)
 	case gauger.JudgementFrozen:
-		g.Logger.Warnf("work figure of the backend server disbelieved as frozen: reported %d %%, measured %d %%", reported, measured)
+		g.Logger.Warnf("work figure of the backend server rejected as frozen: reported %d %%, measured %d %%", reported, measured)
 	case gauger.JudgementFalse:
-		g.Logger.Warnf("work figure of the backend server disbelieved as false: reported %d %%, measured %d %%", reported, measured)
+		g.Logger.Warnf("work figure of the backend server rejected as false: reported %d %%, measured %d %%", reported, measured)
 	}
 }
 
--- a/internal/router/completion.go
+++ b/internal/router/completion.go
@@ -49,8 +49,8 @@
 	unrepeatable bool
 }
 
-// prospect is what is expected of a node for the current request.
-type prospect struct {
+// expectation is what is expected of a node for the current request.
+type expectation struct {
 	// ownFactor is the time of the request's own work as a factor of that on a server of
 	// mean speed whose instance is as usual.
 	ownFactor float64
@@ -61,13 +61,13 @@
 }
 
 // chooseByCompletion returns the node where the request is expected to end first, among a few
-// nodes that are drawn at random from near, the nodes in the nearest localities with room. It
+// nodes that are drawn at random from preferred, the nodes in the nearest localities with room. It
 // returns a farther one of healthy if the nearer one may miss the latency objective, or if
 // the request can't be retried and the farther node is surer.
-func (r *Router) chooseByCompletion(now time.Time, random Random, near, healthy []choice, request *Request) *choice {
+func (r *Router) chooseByCompletion(now time.Time, random Random, preferred, healthy []choice, request *Request) *choice {
 	work := r.workloadOf(now, request)
-	best, bestEnd := chooseSoonest(now, random, near, &work)
-	if len(near) >= len(healthy) {
+	best, bestEnd := chooseSoonest(now, random, preferred, &work)
+	if len(preferred) >= len(healthy) {
 		return best
 	}
 	left := request.ObjectiveIn.Seconds()
@@ -80,7 +80,7 @@
 	case left > 0:
 		advantage = fartherAdvantage
 	}
-	farther, fartherEnd := chooseSoonest(now, random, healthy[len(near):], &work)
+	farther, fartherEnd := chooseSoonest(now, random, healthy[len(preferred):], &work)
 	if fartherEnd*advantage < bestEnd && best.reportsWork() && farther.reportsWork() {
 		return farther
 	}
@@ -94,10 +94,10 @@
 	total := 0.0
 	for i := range choices {
 		choices[i].expect(now, work)
-		total += choices[i].node.prospect.weight
+		total += choices[i].node.expectation.weight
 	}
 	for range choiceCount {
-		drawn := drawByProspect(choices, random.Float64()*total)
+		drawn := drawByExpectation(choices, random.Float64()*total)
 		if drawn == best {
 			continue
 		}
@@ -109,9 +109,9 @@
 	return best, bestEnd
 }
 
-func drawByProspect(choices []choice, at float64) *choice {
+func drawByExpectation(choices []choice, at float64) *choice {
 	for i := range choices {
-		at -= choices[i].node.prospect.weight
+		at -= choices[i].node.expectation.weight
 		if at < 0 {
 			return &choices[i]
 		}
@@ -166,7 +166,7 @@
 	return end < otherEnd
 }
 
-// expect sets the node's prospect. What a report says of the load is worth less with each
+// expect sets the node's expectation. What a report says of the load is worth less with each
 // mean time of a run that has passed since, as the other senders have seen it too: the
 // expected load moves from the reported one to the mean of all nodes. Without this, nodes that
 // reported a low load get the requests of all senders until their next report.
@@ -180,7 +180,7 @@
 	if n.report.OwnTime > 0 && work.meanOwnTime > 0 {
 		relativeTime = min(max(n.report.OwnTime.Seconds()/work.meanOwnTime, minRelativeTime), maxRelativeTime)
 	}
-	p := &n.prospect
+	p := &n.expectation
 	p.ownFactor = relativeTime * slowdown
 	p.load = c.load
 	if work.meanRunTime > 0 && !n.reportExpired(now) {
@@ -195,7 +195,7 @@
 // the node: the wait for a slot, its own work at the speed of the server and the momentary
 // slowdown of the instance, and the time of its calls.
 func (c *choice) expectedEnd(work *workload) float64 {
-	return c.expectedWait(work) + work.ownTime*c.node.prospect.ownFactor + work.nestedTime
+	return c.expectedWait(work) + work.ownTime*c.node.expectation.ownFactor + work.nestedTime
 }
 
 // expectedWait returns the expected time in seconds until a slot of the node is free. Below
@@ -207,7 +207,7 @@
 	if runTime <= 0 {
 		runTime = work.ownTime + work.nestedTime
 	}
-	load := c.node.prospect.load
+	load := c.node.expectation.load
 	utilization := min(load/c.limit, maxQueueingUtilization)
 	wait := runTime / c.limit * math.Pow(utilization, math.Sqrt(2*(c.limit+1))-1) / (1 - utilization)
 	return wait + max(0, load+1-c.limit)*runTime/c.limit
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -30,8 +30,8 @@
 	ejectionTime              time.Duration
 	ejectedUntil              time.Time
 	slowdown                  slowdown
-	// prospect is that of the request that is being routed.
-	prospect prospect
+	// expectation is that of the request that is being routed.
+	expectation expectation
 }
 
 // limitAndLoad returns the node's concurrency limit and the number of its running and
