--- a/internal/gauger/gauger.go
+++ b/internal/gauger/gauger.go
@@ -52,19 +52,15 @@
 )
 
 type (
-	// Gauger keeps the newest figures of a backend server and what its runs have shown. The
+	// Gauger keeps the newest work figure of a backend server and what its runs have shown. The
 	// zero value is ready to use. It is not safe for concurrent use.
 	Gauger struct {
-		// figures are the newest figures, received at figuresAt. figuresAt is zero before
-		// the first ones.
-		figures   Figures
-		figuresAt time.Time
 		// workAt is when figures with WorkPercent were received last, and workChangedAt
 		// when WorkPercent changed last.
 		workPercent           int
 		workAt, workChangedAt time.Time
 
-		// ownTime is the mean time of a run, divided by the believed slowdown.
+		// ownTime is the mean time of a run, divided by the corrected slowdown.
 		ownTime decayingMean
 		// routes holds the same mean by route.
 		routes map[string]*decayingMean
@@ -79,15 +75,13 @@
 
 	// Estimate describes the speed of a backend server.
 	Estimate struct {
-		// WorkPercent is the believed time that work takes, in percent of the usual time;
+		// WorkPercent is the corrected time that work takes, in percent of the usual time;
 		// 0 if the server does not report it. Age is the age of the report.
 		WorkPercent int
 		Age         time.Duration
 		// OwnTime is the mean time of a run without its calls at the usual speed of the
 		// instance; 0 before the first run.
 		OwnTime time.Duration
-		// Waiting is the number of requests that wait at the server.
-		Waiting int
 	}
 
 	// decayingMean is a mean whose weights decay with age.
@@ -99,7 +93,6 @@
 
 // Observe records figures that the server has just reported.
 func (g *Gauger) Observe(now time.Time, f Figures) {
-	g.figures, g.figuresAt = f, now
 	if f.WorkPercent == 0 {
 		return
 	}
@@ -124,7 +117,7 @@
 		// lies below 0 for times that vary.
 		g.residual.add(now, residualDecayTime, ratio/(float64(g.workPercent)/fullPercent))
 	}
-	slowdown := float64(g.believedPercent()) / fullPercent
+	slowdown := float64(g.correctedPercent(now)) / fullPercent
 	g.ownTime.add(now, speedDecayTime, seconds/slowdown)
 	usual.add(now, speedDecayTime, seconds/slowdown)
 }
@@ -140,10 +133,9 @@
 		return Estimate{}
 	}
 	return Estimate{
-		WorkPercent: g.believedPercent(),
+		WorkPercent: g.correctedPercent(now),
 		Age:         max(0, now.Sub(g.workAt)),
 		OwnTime:     time.Duration(g.ownTime.mean() * float64(time.Second)),
-		Waiting:     g.figures.Waiting,
 	}
 }
 
@@ -161,7 +153,7 @@
 // Judge returns how far the work figure agrees with measured run times.
 func (g *Gauger) Judge(now time.Time) Judgement {
 	switch {
-	case g.weight() >= distrustWeight:
+	case g.weight(now) >= distrustWeight:
 		return JudgementAgrees
 	case now.Sub(g.workChangedAt) >= frozenTime:
 		return JudgementFrozen
@@ -170,20 +162,23 @@
 	}
 }
 
-// believedPercent returns the reported figure, moved toward the measured level by as much as
-// it disagrees with measured run times.
-func (g *Gauger) believedPercent() int {
-	weight := g.weight()
+// correctedPercent returns the reported figure, moved toward the measured level by as much as
+// it disagrees with measured run times. A level without a run for some levelDecayTime says
+// nothing about the instance at now, so it loses its weight to the reported figure.
+func (g *Gauger) correctedPercent(now time.Time) int {
+	weight := g.weight(now)
 	if weight == 1 {
 		return g.workPercent
 	}
-	believed := weight*float64(g.workPercent) + (1-weight)*fullPercent*g.level.mean()
-	return min(max(int(math.Round(believed)), minWorkPercent), maxWorkPercent)
+	levelWeight := (1 - weight) * min(1, g.level.weightAt(now, levelDecayTime))
+	corrected := (1-levelWeight)*float64(g.workPercent) + levelWeight*fullPercent*g.level.mean()
+	return min(max(int(math.Round(corrected)), minWorkPercent), maxWorkPercent)
 }
 
-// weight returns the weight of the reported figure, from 0 to 1.
-func (g *Gauger) weight() float64 {
-	if g.residual.weight < minResidualRuns {
+// weight returns the weight of the reported figure at now, from 0 to 1. Disagreements count
+// only while at least minResidualRuns recent runs support them.
+func (g *Gauger) weight(now time.Time) float64 {
+	if g.residual.weightAt(now, residualDecayTime) < minResidualRuns {
 		return 1
 	}
 	difference := math.Abs(math.Log(max(g.residual.mean(), 1e-3)))
@@ -207,16 +202,22 @@
 
 // add adds a value. decayTime is the time in which its weight falls to 1/e.
 func (m *decayingMean) add(now time.Time, decayTime time.Duration, value float64) {
-	if elapsed := now.Sub(m.updatedAt); elapsed > 0 && m.weight > 0 {
-		factor := math.Exp(-elapsed.Seconds() / decayTime.Seconds())
-		m.sum *= factor
-		m.weight *= factor
+	if m.weight > 0 {
+		weight := m.weightAt(now, decayTime)
+		m.sum *= weight / m.weight
+		m.weight = weight
 	}
 	m.sum += value
 	m.weight++
 	m.updatedAt = now
 }
 
+// weightAt returns the decayed number of values at now.
+func (m *decayingMean) weightAt(now time.Time, decayTime time.Duration) float64 {
+	elapsed := max(0, now.Sub(m.updatedAt))
+	return m.weight * math.Exp(-elapsed.Seconds()/decayTime.Seconds())
+}
+
 // mean returns the mean; 0 without values.
 func (m *decayingMean) mean() float64 {
 	if m.weight == 0 {
