Keep the records before the end of a taken copy to compare them again

Cause: a reader that took the copy kept at most one recent record, although it had read the log from its former offset on. A second restore was then often compared without an exact end of the copy.

Change: the records that were read for the comparison are the recent ones after the copy was taken.

--- a/internal/restorer/restorer.go
+++ b/internal/restorer/restorer.go
@@ -56,7 +56,8 @@
 		WrittenComplete bool
 
 		// continued is set if the restored log has all recent records, and following are
-		// those after them.
+		// those after them. If the copy is taken although it has others in their place,
+		// following are those from RecentFrom on.
 		continued bool
 		following []Record
 	}
@@ -112,10 +113,14 @@
 	for _, r := range records {
 		f := newFingerprint(r)
 		l.newest[r.Key] = f
-		l.recent = append(l.recent, f)
-		l.recentBytes += f.bytes
+		l.addRecent(f)
 		l.end++
 	}
+}
+
+func (l *Log) addRecent(f fingerprint) {
+	l.recent = append(l.recent, f)
+	l.recentBytes += f.bytes
 	for len(l.recent) > maxRecentRecords || len(l.recent) > 1 && l.recentBytes > maxRecentBytes {
 		l.recentBytes -= l.recent[0].bytes
 		l.recent = l.recent[1:]
@@ -165,7 +170,11 @@
 	case same > 0:
 		return Restored{Written: tail[same:], From: l.RecentFrom() + uint64(same), End: l.RecentFrom() + uint64(len(tail)), WrittenComplete: true}
 	case l.holdsAll(newest, end, tail):
-		return Restored{TakeCopy: true, From: end, End: end}
+		r := Restored{TakeCopy: true, From: end, End: end}
+		if l.RecentFrom()+uint64(len(tail)) >= end {
+			r.following = tail[:end-l.RecentFrom()]
+		}
+		return r
 	}
 	written := l.provablyNew(newest)
 	if len(l.recent) == 0 || len(tail) == 0 {
@@ -185,6 +194,12 @@
 	}
 	if r.TakeCopy {
 		l.Reset(newest, r.End)
+		if len(r.following) > 0 {
+			l.recent, l.recentBytes = nil, 0
+			for _, f := range r.following {
+				l.addRecent(newFingerprint(f))
+			}
+		}
 		return
 	}
 	matchingCount := 0
--- a/internal/restorer/restorer_test.go
+++ b/internal/restorer/restorer_test.go
@@ -123,6 +123,18 @@
 	}
 }
 
+// TestRestoreAfterTakenCopy guards against records that are missed after a second restore,
+// because the reader took the copy of the first one and kept one record of it to compare.
+func TestRestoreAfterTakenCopy(t *testing.T) {
+	var l Log
+	l.Append(newRecords("c=1"))
+	first, second := newRecords("c=2", "c=3", "c=4"), newRecords("c=5")
+	l.Accept(compare(&l, first), newestOf(first))
+	if got := compare(&l, second); !got.WrittenComplete || !slices.Equal(textsOf(got.Written), []string{"c=5@0"}) {
+		t.Errorf("got %+v, want c=5 and no other record", got)
+	}
+}
+
 // TestDeletionsOutlastReset guards against a deleted key that comes back with a restore, since
 // the newest records that were read in between do not show the deletion.
 func TestDeletionsOutlastReset(t *testing.T) {
