Name the fields of the memory account by what they hold

Cause: the names waits, inParts, bodyAssembly, evictingBytes and UnreadResponses named neither kind nor unit, and a fraction was called a share. Change: peerWaits, hasDataFrames, bodyReservation, releasingBytes, DroppedResponses, accountFraction and runtimeLimitFraction. Metrics keep their names. Result: no change of behaviour; go vet passes.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -104,9 +104,9 @@
 		// AbandonedRequests counts the requests that were read but not started
 		// because their callers had disconnected.
 		AbandonedRequests atomic.Int64
-		// MemoryRefusals counts the requests that were refused, and UnreadResponses the
+		// MemoryRefusals counts the requests that were refused, and DroppedResponses the
 		// connections that were closed with responses to send, because memory was short.
-		MemoryRefusals, UnreadResponses atomic.Int64
+		MemoryRefusals, DroppedResponses atomic.Int64
 
 		// closedLoggedAt is when a connection that was closed for lack of memory was
 		// last logged, in nanoseconds since 1970.
--- a/internal/acceptor/memory.go
+++ b/internal/acceptor/memory.go
@@ -126,7 +126,7 @@
 		e.reservedBytes = size
 		return r
 	}
-	c.server.UnreadResponses.Add(1)
+	c.server.DroppedResponses.Add(1)
 	c.server.logClosed(c, errMemoryShort)
 	c.socket.Close()
 	return &Response{Status: http.StatusBadGateway}
@@ -149,9 +149,9 @@
 	c.mu.Unlock()
 	defer c.mu.Lock()
 	now := time.Now()
-	c.holder.StartWait(now)
+	c.holder.StartPeerWait(now)
 	c.writeWaits.Store(true)
-	defer c.holder.EndWait()
+	defer c.holder.EndPeerWait()
 	defer c.writeWaits.Store(false)
 	_ = c.socket.SetWriteDeadline(now.Add(writeTimeout))
 	if err := c.writeParts(out); err != nil {
@@ -173,7 +173,7 @@
 		}
 	}
 	if c.writeEvicted.Load() {
-		c.server.UnreadResponses.Add(1)
+		c.server.DroppedResponses.Add(1)
 		c.server.logClosed(c, errEvicted)
 		return errEvicted
 	}
@@ -203,5 +203,5 @@
 		action = "connection closed"
 	}
 	s.Logger.Warnf("%s, caller %s: %v; %d requests refused and %d connections closed with responses to send so far, %d of %d bytes in use",
-		action, c.socket.RemoteAddr(), reason, s.MemoryRefusals.Load(), s.UnreadResponses.Load(), s.Account.UsedBytes(), s.Account.SizeBytes())
+		action, c.socket.RemoteAddr(), reason, s.MemoryRefusals.Load(), s.DroppedResponses.Load(), s.Account.UsedBytes(), s.Account.SizeBytes())
 }
--- a/internal/acceptor/memory_test.go
+++ b/internal/acceptor/memory_test.go
@@ -370,8 +370,8 @@
 		status, body := get("/long")
 		return status == http.StatusOK && len(body) == 12<<20
 	})
-	if s.Account.Evictions() == 0 || s.UnreadResponses.Load() == 0 {
-		t.Errorf("got %d evictions and %d connections closed, want those of callers that do not read", s.Account.Evictions(), s.UnreadResponses.Load())
+	if s.Account.Evictions() == 0 || s.DroppedResponses.Load() == 0 {
+		t.Errorf("got %d evictions and %d connections closed, want those of callers that do not read", s.Account.Evictions(), s.DroppedResponses.Load())
 	}
 }
 
--- a/internal/acceptor/requestreader.go
+++ b/internal/acceptor/requestreader.go
@@ -46,8 +46,8 @@
 // requestBytes.
 func (c *conn) readRequest(limits Limits) (r *Request, err error) {
 	now := time.Now()
-	c.holder.StartWait(now)
-	defer c.holder.EndWait()
+	c.holder.StartPeerWait(now)
+	defer c.holder.EndPeerWait()
 	defer func() {
 		if err != nil && c.holder.Evicted() && errors.Is(err, os.ErrDeadlineExceeded) {
 			err = errEvicted
--- a/internal/accountant/account.go
+++ b/internal/accountant/account.go
@@ -50,10 +50,10 @@
 
 		mu      sync.Mutex
 		holders map[*Holder]struct{}
-		// scannedAt is when holders to evict were last searched. evictingBytes is what
+		// scannedAt is when holders to evict were last searched. releasingBytes is what
 		// evicted holders had not released then.
-		scannedAt     time.Time
-		evictingBytes int64
+		scannedAt      time.Time
+		releasingBytes int64
 	}
 
 	// Holder holds bytes of the account for one connection. The zero value has no account
@@ -62,9 +62,9 @@
 		account   *Account
 		evict     func()
 		heldBytes atomic.Int64
-		// waits counts the operations that wait for the peer. The holder may be evicted
+		// peerWaits counts the operations that wait for the peer. The holder may be evicted
 		// while it is not 0.
-		waits atomic.Int32
+		peerWaits atomic.Int32
 		// progressAt is when the peer last made progress, in nanoseconds since 1970.
 		progressAt atomic.Int64
 		evicted    atomic.Bool
@@ -141,15 +141,15 @@
 	return h.heldBytes.Load()
 }
 
-// StartWait records that the holder waits for its peer from now on.
-func (h *Holder) StartWait(now time.Time) {
+// StartPeerWait records that the holder waits for its peer from now on.
+func (h *Holder) StartPeerWait(now time.Time) {
 	h.progressAt.Store(now.UnixNano())
-	h.waits.Add(1)
+	h.peerWaits.Add(1)
 }
 
-// EndWait ends a wait that StartWait has started.
-func (h *Holder) EndWait() {
-	h.waits.Add(-1)
+// EndPeerWait ends a wait that StartPeerWait has started.
+func (h *Holder) EndPeerWait() {
+	h.peerWaits.Add(-1)
 }
 
 // RecordProgress records that the peer has sent or received data.
@@ -232,33 +232,33 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if now.Sub(a.scannedAt) < minScanInterval {
-		return a.evictingBytes > 0
+		return a.releasingBytes > 0
 	}
 	stalled := a.scan(now)
-	if a.evictingBytes >= neededBytes {
+	if a.releasingBytes >= neededBytes {
 		return true
 	}
 	neededBytes += a.sizeBytes / evictionReserveDivisor
 	for _, s := range stalled {
-		if a.evictingBytes >= neededBytes {
+		if a.releasingBytes >= neededBytes {
 			break
 		}
 		a.evict(s)
 	}
-	return a.evictingBytes > 0
+	return a.releasingBytes > 0
 }
 
 // scan returns the holders that may be evicted, the longest without progress first, and sets
-// evictingBytes. The caller holds the lock.
+// releasingBytes. The caller holds the lock.
 func (a *Account) scan(now time.Time) (stalled []stalledHolder) {
-	a.scannedAt, a.evictingBytes = now, 0
+	a.scannedAt, a.releasingBytes = now, 0
 	for h := range a.holders {
 		progressAt, bytes := h.progressAt.Load(), h.heldBytes.Load()
 		switch {
 		case bytes == 0:
 		case h.evicted.Load():
-			a.evictingBytes += bytes
-		case h.waits.Load() > 0 && now.UnixNano()-progressAt >= int64(minStallTime):
+			a.releasingBytes += bytes
+		case h.peerWaits.Load() > 0 && now.UnixNano()-progressAt >= int64(minStallTime):
 			stalled = append(stalled, stalledHolder{holder: h, progressAt: progressAt, bytes: bytes})
 		}
 	}
@@ -271,5 +271,5 @@
 	s.holder.evicted.Store(true)
 	s.holder.evict()
 	a.evictions.Add(1)
-	a.evictingBytes += s.bytes
+	a.releasingBytes += s.bytes
 }
--- a/internal/accountant/account_test.go
+++ b/internal/accountant/account_test.go
@@ -69,10 +69,10 @@
 				s.held -= bytes
 			case 2:
 				if s.waits = !s.waits; s.waits {
-					s.holder.StartWait(now)
+					s.holder.StartPeerWait(now)
 					s.progressAt = now
 				} else {
-					s.holder.EndWait()
+					s.holder.EndPeerWait()
 				}
 			case 3:
 				s.holder.RecordProgress(now)
@@ -103,13 +103,13 @@
 	a := New(8 << 20)
 	for i, name := range []string{"oldest", "second", "third"} {
 		h := newHolder(a, name, &evicted)
-		h.StartWait(start.Add(time.Duration(i) * time.Second))
+		h.StartPeerWait(start.Add(time.Duration(i) * time.Second))
 		if got := h.Reserve(start, 2<<20); got != Granted {
 			t.Fatalf("got %d for %s, want the bytes", got, name)
 		}
 	}
 	active := newHolder(a, "active", &evicted)
-	active.StartWait(start)
+	active.StartPeerWait(start)
 	active.Reserve(start, 1<<20)
 	now := start.Add(10 * time.Second)
 	active.RecordProgress(now)
--- a/internal/accountant/size.go
+++ b/internal/accountant/size.go
@@ -4,14 +4,14 @@
 	// DefaultSizeBytes is the size of the account where the memory of the instance is not
 	// known.
 	DefaultSizeBytes = 1 << 30
-	// sizeShare is the share of the instance's memory that requests and answers may hold.
+	// accountFraction is the share of the instance's memory that requests and answers may hold.
 	// On the smallest instance, 184 MB, a body of 64 MiB fits beside the share for small
 	// requests, and 64 MB are left for the process, its links and garbage.
-	sizeShare = 0.52
-	// runtimeLimitShare is the share of the instance's memory that the Go runtime may use,
+	accountFraction = 0.52
+	// runtimeLimitFraction is the share of the instance's memory that the Go runtime may use,
 	// beyond which garbage is collected without regard to its cost. The rest is for the
 	// program itself and for what the runtime allocates before a collection ends.
-	runtimeLimitShare = 0.85
+	runtimeLimitFraction = 0.85
 	// minSizeBytes is the size of the account on an instance with very little memory.
 	minSizeBytes = 4 << 20
 	// fieldBytes is the memory that a header field needs beside its name and value: a map
@@ -33,11 +33,11 @@
 	if instanceBytes <= 0 {
 		return DefaultSizeBytes
 	}
-	return max(minSizeBytes, int64(sizeShare*float64(instanceBytes)))
+	return max(minSizeBytes, int64(accountFraction*float64(instanceBytes)))
 }
 
 // RuntimeLimitBytes returns the memory limit of the Go runtime on an instance with the given
 // memory in bytes.
 func RuntimeLimitBytes(instanceBytes int64) int64 {
-	return int64(runtimeLimitShare * float64(instanceBytes))
+	return int64(runtimeLimitFraction * float64(instanceBytes))
 }
--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -19,7 +19,7 @@
 		{"flamingotack.memory.evicted", "Connections of callers that were evicted as memory was short and no data had arrived for long.", n.account.Evictions},
 		{"flamingotack.memory.transit", "Calls of other nodes and answers to them that ended as memory was short.", n.linker.RefusedForMemory.Load},
 		{"flamingotack.memory.refused", "Requests of callers that were refused as memory was short.", n.acceptor.MemoryRefusals.Load},
-		{"flamingotack.memory.unread", "Connections of callers that were closed with answers to send as memory was short.", n.acceptor.UnreadResponses.Load},
+		{"flamingotack.memory.unread", "Connections of callers that were closed with answers to send as memory was short.", n.acceptor.DroppedResponses.Load},
 		{"flamingotack.unbegun", "Requests that were not begun, as their callers had left.", n.acceptor.AbandonedRequests.Load},
 		{"flamingotack.repeats", "Calls that were sent to another node after the first one.", n.forwarder.Retries.Load},
 		{"flamingotack.server.loads.malformed", "Answers of the backend server whose load figures could not be parsed.", n.guardian.MalformedLoads},
--- a/internal/linker/assembly.go
+++ b/internal/linker/assembly.go
@@ -23,12 +23,12 @@
 	inboundCall struct {
 		*exchanger.Call
 
-		body bodyAssembly
+		body bodyReservation
 	}
 
-	// bodyAssembly reserves the memory of a body whose parts arrive in several frames. The
+	// bodyReservation reserves the memory of a body whose parts arrive in several frames. The
 	// parts are kept as they arrive, so nothing is copied.
-	bodyAssembly struct {
+	bodyReservation struct {
 		holder accountant.Holder
 		// receivedBytes is the size of the parts, reservedBytes what is reserved for all
 		// parts. A node that announces no size gets them reserved one by one.
@@ -37,7 +37,7 @@
 )
 
 // begin reserves memory for a body of which the first part has arrived, and for the head.
-func (b *bodyAssembly) begin(a *accountant.Account, now time.Time, announcedBytes, firstBytes, headBytes int64) (reserved bool) {
+func (b *bodyReservation) begin(a *accountant.Account, now time.Time, announcedBytes, firstBytes, headBytes int64) (reserved bool) {
 	a.Register(&b.holder, nil)
 	if announcedBytes < 0 || announcedBytes > maxAnnouncedBytes {
 		announcedBytes = 0
@@ -51,7 +51,7 @@
 }
 
 // add accounts for a further part that has arrived.
-func (b *bodyAssembly) add(now time.Time, partBytes int64) (reserved bool) {
+func (b *bodyReservation) add(now time.Time, partBytes int64) (reserved bool) {
 	b.receivedBytes += partBytes
 	missingBytes := b.receivedBytes - b.reservedBytes
 	if missingBytes <= 0 {
@@ -65,7 +65,7 @@
 }
 
 // release gives back all memory.
-func (b *bodyAssembly) release() {
+func (b *bodyReservation) release() {
 	b.holder.Release(b.holder.HeldBytes())
 }
 
--- a/internal/linker/assembly_test.go
+++ b/internal/linker/assembly_test.go
@@ -110,7 +110,7 @@
 func TestAnnouncedSizes(t *testing.T) {
 	for _, announced := range []int64{-1, 0, 1, 100 << 10, 300 << 10, 1 << 50} {
 		account := accountant.New(accountBytes)
-		var b bodyAssembly
+		var b bodyReservation
 		now := time.Now()
 		if !b.begin(account, now, announced, 64<<10, 1000) {
 			t.Fatalf("announced %d: got a refusal, want the first part reserved", announced)
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -64,9 +64,9 @@
 		// partialReply is a reply of which more frames follow.
 		partialReply *exchanger.Reply
 		// body accounts for the memory of a reply that comes in several frames.
-		body bodyAssembly
-		// inParts reports whether the request is sent in several frames.
-		inParts bool
+		body bodyReservation
+		// hasDataFrames reports whether the request is sent in several frames.
+		hasDataFrames bool
 	}
 
 	// result is the outcome of an exchange.
@@ -271,7 +271,7 @@
 
 // send sends a call and waits for its reply until replyMargin after its deadline.
 func (k *link) send(ctx context.Context, c *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
-	number, e := k.beginExchange(&exchange{idempotent: c.Idempotent, inParts: c.BodyBytes() > maxFrameBodyBytes})
+	number, e := k.beginExchange(&exchange{idempotent: c.Idempotent, hasDataFrames: c.BodyBytes() > maxFrameBodyBytes})
 	if e == nil {
 		return nil, unreachableRefusal(k.member.Name)
 	}
@@ -297,7 +297,7 @@
 	if e.session.withdraw(number) {
 		return nil, unsentRefusal(ctx, k.member.Name)
 	}
-	if e.inParts {
+	if e.hasDataFrames {
 		e.session.dropData(number)
 	}
 	e.session.enqueue(&framer.Frame{Number: number, Cancel: true})
@@ -388,7 +388,7 @@
 	delete(k.pending, f.GetNumber())
 	// The receiver of the reply reserves what it holds.
 	e.body.release()
-	if e.inParts {
+	if e.hasDataFrames {
 		e.session.dropData(f.GetNumber())
 	}
 	k.closeRetiredIfIdle(e.session)
