Give no memory account to a node that does not know its memory

Cause: without limits.memoryMb a node got an account of 1 GiB, so it refused the 15th body of 64 MiB, and limits.maxFds alone stopped it from accepting connections. Change: no account without limits.memoryMb, and no bound on the sockets of callers without an account. The getters of a nil account return 0.

--- a/internal/accountant/account.go
+++ b/internal/accountant/account.go
@@ -41,8 +41,8 @@
 )
 
 type (
-	// Account is the memory account of a node. A nil Account grants everything. It is safe
-	// for concurrent use.
+	// Account is the memory account of a node. A nil Account grants everything and counts
+	// nothing. It is safe for concurrent use.
 	Account struct {
 		sizeBytes, smallShareBytes int64
 		usedBytes                  atomic.Int64
@@ -88,12 +88,18 @@
 
 // Evictions returns the number of holders that were evicted.
 func (a *Account) Evictions() int64 {
+	if a == nil {
+		return 0
+	}
 	return a.evictions.Load()
 }
 
 // Refusals returns the number of reservations that were not granted. A reservation that is
 // tried again counts each time.
 func (a *Account) Refusals() int64 {
+	if a == nil {
+		return 0
+	}
 	return a.refusals.Load()
 }
 
@@ -112,6 +118,9 @@
 
 // SizeBytes returns the size of the account.
 func (a *Account) SizeBytes() int64 {
+	if a == nil {
+		return 0
+	}
 	return a.sizeBytes
 }
 
@@ -128,6 +137,9 @@
 
 // UsedBytes returns the number of bytes that are reserved.
 func (a *Account) UsedBytes() int64 {
+	if a == nil {
+		return 0
+	}
 	return a.usedBytes.Load()
 }
 
--- a/internal/accountant/account_test.go
+++ b/internal/accountant/account_test.go
@@ -164,3 +164,27 @@
 		}
 	})
 }
+
+// TestNoAccountWithoutInstanceMemory guards against refusals on an instance whose memory is not
+// in the settings, where the size of an account would be a guess.
+func TestNoAccountWithoutInstanceMemory(t *testing.T) {
+	a := NewForInstance(0)
+	var h Holder
+	a.Register(&h, func() {})
+	for i := range 32 {
+		if got := h.Reserve(time.Now(), 64<<20); got != Granted {
+			t.Fatalf("body %d of 64 MiB: got result %d, want %d", i, got, Granted)
+		}
+	}
+	if a.EvictStalled(time.Now().Add(time.Minute), 1) != 0 || h.Evicted() {
+		t.Error("got an eviction, want none")
+	}
+	for name, got := range map[string]int64{"size": a.SizeBytes(), "bytes in use": a.UsedBytes(), "evictions": a.Evictions(), "refusals": a.Refusals()} {
+		if got != 0 {
+			t.Errorf("%s: got %d, want 0", name, got)
+		}
+	}
+	if got, want := NewForInstance(184e6).SizeBytes(), SizeBytes(184e6); got != want {
+		t.Errorf("184 MB: got size %d, want %d", got, want)
+	}
+}
--- a/internal/accountant/size.go
+++ b/internal/accountant/size.go
@@ -1,9 +1,6 @@
 package accountant
 
 const (
-	// DefaultSizeBytes is the size of the account where the memory of the instance is not
-	// known.
-	DefaultSizeBytes = 1 << 30
 	// accountFraction is the share of the instance's memory that requests and answers may hold.
 	// On the smallest instance, 184 MB, a body of 64 MiB fits beside the share for small
 	// requests, and 64 MB are left for the process, its links and garbage.
@@ -27,12 +24,17 @@
 	return int64(headBytes)*headByteCopies + int64(lines)*fieldBytes
 }
 
-// SizeBytes returns the size of the account on an instance with the given memory in bytes; 0
-// if that is not known.
-func SizeBytes(instanceBytes int64) int64 {
+// NewForInstance returns the account of a node on an instance with the given memory in bytes.
+// It returns nil, which grants everything, if the memory is not known.
+func NewForInstance(instanceBytes int64) *Account {
 	if instanceBytes <= 0 {
-		return DefaultSizeBytes
+		return nil
 	}
+	return New(SizeBytes(instanceBytes))
+}
+
+// SizeBytes returns the size of the account on an instance with the given memory in bytes.
+func SizeBytes(instanceBytes int64) int64 {
 	return max(minSizeBytes, int64(accountFraction*float64(instanceBytes)))
 }
 
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -259,7 +259,7 @@
 
 func (n *Node) buildComponents() {
 	s, clock := n.settings, timekeeper.SystemClock{}
-	n.account = accountant.New(accountant.SizeBytes(s.MemoryBytes))
+	n.account = accountant.NewForInstance(s.MemoryBytes)
 	backend := &invoker.Invoker{Address: s.BackendAddress, Account: n.account, HeaderNames: s.HeaderNames}
 	n.fanOutCounter = admitter.NewFanOutCounter(clock)
 	runs := &attributor.Attributor{}
@@ -321,7 +321,7 @@
 	n.acceptor = &acceptor.Server{
 		Account:        n.account,
 		MaxConnections: int(callerSocketShare * float64(s.MaxSockets)),
-		MaxSockets:     s.MaxSockets,
+		MaxSockets:     n.maxCallerSockets(),
 		Draining:       n.stopping.Load,
 		Handle:         n.admitter.Handle,
 		Limits:         n.limits,
@@ -329,6 +329,15 @@
 	}
 }
 
+// maxCallerSockets returns the bound on the sockets of callers; 0 without a memory account, as
+// only an account evicts callers that hold their sockets for long.
+func (n *Node) maxCallerSockets() int {
+	if n.account == nil {
+		return 0
+	}
+	return n.settings.MaxSockets
+}
+
 // broadcastChanges sends changes of the backend server to the other nodes.
 func (n *Node) broadcastChanges(ctx context.Context) error {
 	for {
