Count the bytes of slow callers as progress, and evict for connections only at the bound on sockets

Cause: a body of up to 64 KiB made no progress until its end and larger ones only for each part, so callers with a slow uplink were evicted. At MaxConnections stalled callers were evicted although sockets were free; before the account only idle connections were closed there. Change: each 4 KiB that are read from a connection are progress. At MaxConnections only idle connections are closed; evictions for connections happen at MaxSockets and without a free descriptor. Result: TestSlowBodyIsProgress and TestStalledCallersKeepConnections fail before (evicted while sending; 2 evictions, want none) and pass now, as do the others of the package.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -81,12 +81,13 @@
 		// Account bounds the memory of requests and responses; nil means no bound.
 		Account *accountant.Account
 		// MaxConnections bounds the open connections; 0 means no bound. At the
-		// bound, the connections that have been idle longest are closed or, with an
-		// account, those that have waited longest for their callers.
+		// bound, the connections that have been idle longest are closed. Those with
+		// requests may exceed it up to MaxSockets.
 		MaxConnections int
 		// MaxSockets bounds the connections together with those that are only read until
 		// they close; 0 means no bound. At the bound none is accepted, so that the process
-		// keeps descriptors for its backend server and the other nodes.
+		// keeps descriptors for its backend server and the other nodes, and with an account
+		// those that have waited longest for their callers are closed.
 		MaxSockets int
 		// Draining reports whether connections close after their pending
 		// responses.
@@ -166,7 +167,7 @@
 		}
 		go c.serve()
 		if s.MaxConnections > 0 && s.OpenConnections() >= s.MaxConnections {
-			s.makeRoom()
+			s.dropIdleConns(s.minIdleTime())
 		}
 	}
 }
@@ -187,18 +188,22 @@
 }
 
 // makeRoom closes idle connections or, if there are none, those that have waited longest for
-// their callers without progress. With a bound on sockets, new connections get the time to
-// send their first request.
+// their callers without progress.
 func (s *Server) makeRoom() {
-	minIdleTime := time.Duration(0)
-	if s.MaxSockets > 0 {
-		minIdleTime = firstRequestTimeout
-	}
-	if s.dropIdleConns(minIdleTime) == 0 {
+	if s.dropIdleConns(s.minIdleTime()) == 0 {
 		s.Account.EvictStalled(time.Now(), max(1, s.OpenConnections()/dropDivisor))
 	}
 }
 
+// minIdleTime returns how long a connection must be idle before it is closed to make room.
+// With a bound on sockets, new connections get the time to send their first request.
+func (s *Server) minIdleTime() time.Duration {
+	if s.MaxSockets > 0 {
+		return firstRequestTimeout
+	}
+	return 0
+}
+
 // handleAcceptError counts and logs a failed accept and waits before the next one. If
 // the process has no free descriptor, it closes idle connections first. Other failures,
 // such as a caller that has already disconnected, need no descriptor.
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -90,6 +90,7 @@
 		lingerTimeout: lingerTimeout,
 		idleFrom:      time.Now(),
 	}
+	socketReader.onProgress = func() { c.holder.RecordProgress(time.Now()) }
 	s.Account.Register(&c.holder, c.evict)
 	return c
 }
--- a/internal/acceptor/requestreader.go
+++ b/internal/acceptor/requestreader.go
@@ -170,7 +170,6 @@
 	default:
 		b.more = append(b.more, part)
 	}
-	b.conn.holder.RecordProgress(time.Now())
 	return ended, err
 }
 
--- a/internal/acceptor/socketreader.go
+++ b/internal/acceptor/socketreader.go
@@ -7,6 +7,10 @@
 	"syscall"
 )
 
+// progressBytes is how much a caller has to send before that is recorded as progress. Single
+// bytes are not, so that a caller can't hold memory by sending them.
+const progressBytes = 4 << 10
+
 // socketReader reads from a connection. Read fails once remainingBytes is used up.
 type socketReader struct {
 	// remainingBytes is the number of bytes that may still be read.
@@ -18,6 +22,10 @@
 	// on only once, and not at all if part of a line is in its buffer.
 	onData    func([]byte) error
 	onDataErr error
+	// onProgress is called after each progressBytes that were read.
+	onProgress func()
+	// unrecordedBytes counts the bytes that were read since then.
+	unrecordedBytes int
 
 	socket net.Conn
 	// raw is nil if the connection is not a socket of the operating system.
@@ -25,7 +33,7 @@
 }
 
 func newSocketReader(socket net.Conn) *socketReader {
-	sr := &socketReader{socket: socket, onBlock: func() {}}
+	sr := &socketReader{socket: socket, onBlock: func() {}, onProgress: func() {}}
 	if s, ok := socket.(syscall.Conn); ok {
 		if raw, err := s.SyscallConn(); err == nil {
 			sr.raw = raw
@@ -44,6 +52,10 @@
 	}
 	n, err = sr.read(p)
 	sr.remainingBytes -= int64(n)
+	if sr.unrecordedBytes += n; sr.unrecordedBytes >= progressBytes {
+		sr.unrecordedBytes = 0
+		sr.onProgress()
+	}
 	if n > 0 && sr.onData != nil {
 		if sr.onDataErr = sr.onData(p[:n]); sr.onDataErr != nil {
 			return 0, sr.onDataErr
--- /dev/null
+++ b/internal/acceptor/stalled_test.go
@@ -0,0 +1,59 @@
+package acceptor
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/flamingotack/flamingotack/internal/accountant"
+)
+
+// TestSlowBodyIsProgress guards against callers with a slow uplink that are evicted although
+// their bodies arrive steadily.
+func TestSlowBodyIsProgress(t *testing.T) {
+	for _, size := range []int{60 << 10, 120 << 10} {
+		s, dial := newAccountServer(t, 64<<20, answerOK)
+		c := dial()
+		fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", size)
+		part := bytes.Repeat([]byte("x"), size/20)
+		// The body takes longer than a holder may go without progress, which is measured
+		// from the start of the request if no part of the body counts.
+		for range 20 {
+			if _, err := c.Write(part); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(40 * time.Millisecond)
+			if got := s.Account.EvictStalled(time.Now(), 1); got != 0 {
+				t.Fatalf("%d bytes: got an eviction of a caller that sends, want none", size)
+			}
+		}
+		if got, _ := readResponse(t, bufio.NewReader(c), http.MethodGet); got != http.StatusOK {
+			t.Errorf("%d bytes: got status %d, want 200", size, got)
+		}
+	}
+}
+
+// TestStalledCallersKeepConnections guards against evictions at MaxConnections, where sockets
+// are still free.
+func TestStalledCallersKeepConnections(t *testing.T) {
+	const connections = 10
+	s, dial := newConfiguredServer(t, func(s *Server) {
+		s.MaxConnections, s.MaxSockets, s.Account = connections, 10*connections, accountant.New(64<<20)
+	}, answerOK)
+	for range 2 * connections {
+		fmt.Fprint(dial(), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nx")
+	}
+	waitFor(t, func() bool { return s.OpenConnections() == 2*connections })
+	time.Sleep(600 * time.Millisecond)
+	c := dial()
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	if got, _ := readResponse(t, bufio.NewReader(c), http.MethodGet); got != http.StatusOK {
+		t.Errorf("got status %d, want 200", got)
+	}
+	if got := s.Account.Evictions(); got != 0 {
+		t.Errorf("got %d evictions, want none", got)
+	}
+}
