Give a shortage of memory for an answer a reason of its own

Cause: a node that had no memory for an answer reported a broken connection. That counted as a failed run of the backend server, led to probes for crashes and suspects, counted against a healthy node in routing, and repeated idempotent calls into the same shortage. Change: the refusal is 502 memory, unknown whether run. Failure detection, crash detection and routing draw nothing from it. An idempotent call goes to another node only if the memory of the other node was short, not that of this one.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -37,6 +37,7 @@
 	ReasonKeyMissing           Reason = "key-missing"
 	ReasonKeyUnknown           Reason = "key-unknown"
 	ReasonIdempotencyKeyReused Reason = "idempotency-key-reused"
+	ReasonMemory               Reason = "memory"
 	ReasonNoServer             Reason = "no-server"
 	ReasonNotReady             Reason = "not-ready"
 	ReasonOutOfService         Reason = "out-of-service"
@@ -102,6 +103,9 @@
 		RetryAfter time.Duration
 		// UnusedRetries is the number of retries left unused.
 		UnusedRetries int
+		// LocalShortage says that memory is short on this node, so that an attempt on
+		// another node meets the same shortage. It is not sent to other nodes.
+		LocalShortage bool
 	}
 
 	// Request is a call that passes to a backend server.
@@ -185,6 +189,14 @@
 	}
 }
 
+// LocalMemoryShort returns the refusal of a request that may have run and whose answer was
+// dropped because memory is short on this node.
+func LocalMemoryShort(format string, args ...any) *Refusal {
+	r := Unknown(http.StatusBadGateway, ReasonMemory, format, args...)
+	r.LocalShortage = true
+	return r
+}
+
 // Handle calls f.
 func (f HandlerFunc) Handle(ctx context.Context, r *Request) (*Answer, error) {
 	return f(ctx, r)
--- a/internal/forwarder/callattempts.go
+++ b/internal/forwarder/callattempts.go
@@ -68,8 +68,7 @@
 			a.firstUnknown = r
 		}
 		a.attemptsLeft--
-		broken := r.Reason == exchanger.ReasonBroken || r.Reason == exchanger.ReasonSilent
-		return broken && a.call.Idempotent && a.attemptsLeft > 0 && a.forwarder.spendRetry(ctx, a.call)
+		return mayAnswerElsewhere(r) && a.call.Idempotent && a.attemptsLeft > 0 && a.forwarder.spendRetry(ctx, a.call)
 	}
 	if nodeUnavailable(r) {
 		a.unavailableNodes++
@@ -87,6 +86,19 @@
 	return false
 }
 
+// mayAnswerElsewhere reports whether another node may answer a call that may have run. If this
+// node's memory is short, it can't receive the answer of any node.
+func mayAnswerElsewhere(r *exchanger.Refusal) bool {
+	switch r.Reason {
+	case exchanger.ReasonBroken, exchanger.ReasonSilent:
+		return true
+	case exchanger.ReasonMemory:
+		return !r.LocalShortage
+	default:
+		return false
+	}
+}
+
 // attempt sends the call to one node.
 func (a *callAttempts) attempt(ctx context.Context) (*exchanger.Reply, *exchanger.Refusal) {
 	if ctx.Err() != nil {
--- a/internal/guardian/availability.go
+++ b/internal/guardian/availability.go
@@ -162,6 +162,9 @@
 	case ctx.Err() != nil:
 		return exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonCanceled, "the request was canceled while it ran")
 	}
+	if errors.Is(err, invoker.ErrMemoryShort) {
+		return exchanger.LocalMemoryShort("memory of the node is short for the answer of the backend server")
+	}
 	var invalid *invoker.InvalidResponseError
 	if errors.As(err, &invalid) {
 		g.Logger.Warnf("backend server %s sent bytes that are no answer: %s", g.instanceID(), invalid.Detail)
--- a/internal/invoker/conn.go
+++ b/internal/invoker/conn.go
@@ -43,11 +43,14 @@
 	readBufferBytes  = 4 << 10
 )
 
+// ErrMemoryShort says that a response was dropped because the memory account of the node is
+// short. The request has run.
+var ErrMemoryShort = errors.New("memory of the node is short")
+
 var (
 	errHeadTooLarge    = errors.New("head of the answer is too large")
 	errBodyTooLarge    = errors.New("answer is too large")
 	errTotalTooLarge   = errors.New("answers that are being read are too large together")
-	errMemoryShort     = errors.New("memory of the node is short")
 	errAttemptMismatch = errors.New("answer names another request")
 )
 
--- a/internal/invoker/parts_test.go
+++ b/internal/invoker/parts_test.go
@@ -64,8 +64,8 @@
 		return false
 	})
 	v.Account = accountant.New(2 << 20)
-	if _, err := v.Send(t.Context(), get("1")); !errors.Is(err, errMemoryShort) {
-		t.Errorf("got error %v, want %v", err, errMemoryShort)
+	if _, err := v.Send(t.Context(), get("1")); !errors.Is(err, ErrMemoryShort) {
+		t.Errorf("got error %v, want %v", err, ErrMemoryShort)
 	}
 	if got := v.Account.UsedBytes(); got != 0 {
 		t.Errorf("got %d bytes reserved afterwards, want 0", got)
--- a/internal/invoker/response.go
+++ b/internal/invoker/response.go
@@ -205,7 +205,7 @@
 			size = min(size, limited.N+1)
 		}
 		if c.holder.Reserve(time.Now(), size) != accountant.Granted {
-			return nil, nil, errMemoryShort
+			return nil, nil, ErrMemoryShort
 		}
 		reservedBytes += size
 		part := make([]byte, size)
@@ -242,7 +242,7 @@
 		netErr  net.Error
 		invalid *InvalidResponseError
 	)
-	if errors.As(err, &invalid) || errors.As(err, &netErr) || errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, errBodyTooLarge, errTotalTooLarge, errMemoryShort) {
+	if errors.As(err, &invalid) || errors.As(err, &netErr) || errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, errBodyTooLarge, errTotalTooLarge, ErrMemoryShort) {
 		return err
 	}
 	return &InvalidResponseError{Detail: err.Error()}
--- a/internal/linker/assembly.go
+++ b/internal/linker/assembly.go
@@ -153,7 +153,7 @@
 	load := fromLoad(l.handlers.Load())
 	if c.body.holder.Reserve(l.clock.Now(), size) != accountant.Granted {
 		l.RefusedForMemory.Add(1)
-		refusal := exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the memory of node %s is short for the answer", l.self.Name)
+		refusal := exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonMemory, "the memory of node %s is short for the answer", l.self.Name)
 		r.session.enqueue(&framer.Frame{Number: number, Refusal: fromRefusal(refusal), Load: load})
 		return
 	}
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -394,7 +394,7 @@
 	k.closeRetiredIfIdle(e.session)
 	if !reserved {
 		k.linker.RefusedForMemory.Add(1)
-		e.done <- result{refusal: exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "memory is short for the answer of node %s", k.member.Name)}
+		e.done <- result{refusal: exchanger.LocalMemoryShort("memory is short for the answer of node %s", k.member.Name)}
 		return
 	}
 	r := result{reply: e.partialReply, refusal: toRefusal(f), grantedMilliTokens: min(max(0, f.GetGrant()), e.askedMilliTokens)}
