Wait for evicted memory before an answer of a call that has run is dropped

Cause: the reader of an answer of the backend server and the sender of an answer to another node took a pending reservation for a refusal. The sender also released the memory of the call before it reserved that of the answer, so others could take it. Change: ReserveWithRetry is in accountant, and all three places use it. The sender of an answer reserves only what the answer needs beyond the call. Result: TestReplyWaitsForEvictedMemory and TestResponseWaitsForEvictedMemory fail before with memory short and pass now. TestReplyTakesPlaceOfCall passes before too, as it can't hit the moment in between.

--- a/internal/acceptor/memory.go
+++ b/internal/acceptor/memory.go
@@ -11,10 +11,6 @@
 )
 
 const (
-	// reserveRetryDelay is the pause between two reservations while evicted connections
-	// release their memory, and maxReserveRetries bounds their number.
-	reserveRetryDelay = 2 * time.Millisecond
-	maxReserveRetries = 50
 	// maxWriteBytes is how much of a response is written at once. Each write that ends is
 	// progress of the caller.
 	maxWriteBytes = 256 << 10
@@ -71,7 +67,7 @@
 
 // reserve reserves memory for the request that is being read.
 func (c *conn) reserve(size int64) error {
-	if c.reserveOrWait(size) {
+	if accountant.ReserveWithRetry(time.Now, &c.holder, size) {
 		c.requestBytes += size
 		return nil
 	}
@@ -93,21 +89,6 @@
 	c.requestBytes = 0
 }
 
-// reserveOrWait reserves memory. It waits a short time for that of evicted connections.
-func (c *conn) reserveOrWait(size int64) (reserved bool) {
-	for range maxReserveRetries {
-		switch c.holder.Reserve(time.Now(), size) {
-		case accountant.Granted:
-			return true
-		case accountant.Refused:
-			return false
-		case accountant.Pending:
-			time.Sleep(reserveRetryDelay)
-		}
-	}
-	return false
-}
-
 // reserveResponse replaces the memory of a request, which has ended, by that of its response.
 // If memory is short, it closes the connection, as the request may have run, and returns a
 // response without a body.
@@ -122,7 +103,7 @@
 		e.reservedBytes = size
 		return r
 	}
-	if c.reserveOrWait(change) {
+	if accountant.ReserveWithRetry(time.Now, &c.holder, change) {
 		e.reservedBytes = size
 		return r
 	}
--- a/internal/invoker/parts_test.go
+++ b/internal/invoker/parts_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -71,3 +72,29 @@
 		t.Errorf("got %d bytes reserved afterwards, want 0", got)
 	}
 }
+
+// TestResponseWaitsForEvictedMemory guards against a response that is dropped although an evicted
+// holder is about to release its memory.
+func TestResponseWaitsForEvictedMemory(t *testing.T) {
+	const size = 4 << 20
+	v := newTestInvoker(t, func(c net.Conn, r *http.Request, _ int) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Attempt"), size, make([]byte, size))
+		return false
+	})
+	v.Account = accountant.New(3 * size)
+	var stalled accountant.Holder
+	v.Account.Register(&stalled, func() {
+		time.AfterFunc(20*time.Millisecond, func() { stalled.Release(stalled.HeldBytes()) })
+	})
+	now := time.Now()
+	stalled.StartPeerWait(now.Add(-time.Second))
+	if got := stalled.Reserve(now, 2*size); got != accountant.Granted {
+		t.Fatalf("got result %d, want the memory granted", got)
+	}
+	if _, err := v.Send(t.Context(), get("1")); err != nil {
+		t.Errorf("got error %v, want the response", err)
+	}
+	if v.Account.Evictions() != 1 {
+		t.Errorf("got %d evictions, want 1", v.Account.Evictions())
+	}
+}
--- a/internal/linker/assembly.go
+++ b/internal/linker/assembly.go
@@ -145,13 +145,16 @@
 	}
 }
 
-// sendReply queues a reply, whose memory stays reserved until it is sent.
+// sendReply queues a reply, whose memory stays reserved until it is sent. It takes the place of
+// the memory of the call.
 func (r *inboundSession) sendReply(number uint64, c *inboundCall, reply *exchanger.Reply) {
 	l := r.server.linker
-	c.body.release()
 	size := reply.BodyBytes()
 	load := fromLoad(l.handlers.Load())
-	if c.body.holder.Reserve(l.clock.Now(), size) != accountant.Granted {
+	if change := size - c.body.holder.HeldBytes(); change <= 0 {
+		c.body.holder.Release(-change)
+	} else if !accountant.ReserveWithRetry(l.clock.Now, &c.body.holder, change) {
+		c.body.release()
 		l.RefusedForMemory.Add(1)
 		refusal := exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonMemory, "the memory of node %s is short for the answer", l.self.Name)
 		r.session.enqueue(&framer.Frame{Number: number, Refusal: fromRefusal(refusal), Load: load})
