Let an evicted holder that can't release its memory not stop further evictions

Cause: all bytes of an evicted holder counted as being released, also those of a request that runs for long. While they sufficed, no other holder was evicted, and reservations were pending without end. The holder itself was not evicted again when it did not read its answer. Change: the bytes count for 100 ms after the eviction. Then the holder may be evicted again. Result: TestEvictedHolderThatKeepsBytes got no second eviction before; it passes now.

--- a/internal/accountant/account.go
+++ b/internal/accountant/account.go
@@ -24,6 +24,10 @@
 	// minScanInterval is the minimum time between two searches for holders to evict. A
 	// search visits all holders.
 	minScanInterval = 5 * time.Millisecond
+	// maxReleaseTime is how long the bytes of a holder count as being released after its
+	// eviction. What it holds then belongs to requests that run or to answers, and does not
+	// keep others from being evicted.
+	maxReleaseTime = 100 * time.Millisecond
 	// evictionReserveDivisor determines how much more than needed an eviction frees: the
 	// size divided by it. This keeps evictions rare.
 	evictionReserveDivisor = 16
@@ -51,7 +55,7 @@
 		mu      sync.Mutex
 		holders map[*Holder]struct{}
 		// scannedAt is when holders to evict were last searched. releasingBytes is what
-		// evicted holders had not released then.
+		// the holders that were evicted at most maxReleaseTime before had not released then.
 		scannedAt      time.Time
 		releasingBytes int64
 	}
@@ -68,6 +72,8 @@
 		// progressAt is when the peer last made progress, in nanoseconds since 1970.
 		progressAt atomic.Int64
 		evicted    atomic.Bool
+		// evictedAt is when the holder was last evicted. The account's lock guards it.
+		evictedAt time.Time
 	}
 
 	// Result is the result of a reservation.
@@ -103,9 +109,10 @@
 	return a.refusals.Load()
 }
 
-// Register prepares a holder for use. evict is called at most once, with the account locked:
-// it must return at once, must not use the account, and makes the owner release the bytes. A
-// holder without evict is never evicted.
+// Register prepares a holder for use. evict is called with the account locked: it must return
+// at once, must not use the account, and makes the owner end the wait for the peer and release
+// the bytes of what is received or sent. It is called again if the holder still holds bytes and
+// waits for its peer without progress. A holder without evict is never evicted.
 func (a *Account) Register(h *Holder, evict func()) {
 	h.account, h.evict = a, evict
 	if a == nil || evict == nil {
@@ -231,7 +238,7 @@
 		if evicted == count {
 			break
 		}
-		a.evict(s)
+		a.evict(now, s)
 		evicted++
 	}
 	return evicted
@@ -255,7 +262,7 @@
 		if a.releasingBytes >= neededBytes {
 			break
 		}
-		a.evict(s)
+		a.evict(now, s)
 	}
 	return a.releasingBytes > 0
 }
@@ -268,7 +275,7 @@
 		progressAt, bytes := h.progressAt.Load(), h.heldBytes.Load()
 		switch {
 		case bytes == 0:
-		case h.evicted.Load():
+		case h.evicted.Load() && now.Sub(h.evictedAt) < maxReleaseTime:
 			a.releasingBytes += bytes
 		case h.peerWaits.Load() > 0 && now.UnixNano()-progressAt >= int64(minStallTime):
 			stalled = append(stalled, stalledHolder{holder: h, progressAt: progressAt, bytes: bytes})
@@ -279,7 +286,8 @@
 }
 
 // evict evicts a holder. The caller holds the lock.
-func (a *Account) evict(s stalledHolder) {
+func (a *Account) evict(now time.Time, s stalledHolder) {
+	s.holder.evictedAt = now
 	s.holder.evicted.Store(true)
 	s.holder.evict()
 	a.evictions.Add(1)
--- a/internal/accountant/account_test.go
+++ b/internal/accountant/account_test.go
@@ -188,3 +188,45 @@
 		t.Errorf("184 MB: got size %d, want %d", got, want)
 	}
 }
+
+// TestEvictedHolderThatKeepsBytes guards against an evicted holder that keeps the bytes of a
+// running request, and so keeps all others from being evicted.
+func TestEvictedHolderThatKeepsBytes(t *testing.T) {
+	const size = 100 << 20
+	a := New(size)
+	now := time.Now()
+	evictions := map[string]int{}
+	var running, stalled, wanting Holder
+	a.Register(&running, func() { evictions["running"]++ })
+	a.Register(&stalled, func() { evictions["stalled"]++ })
+	a.Register(&wanting, nil)
+	running.Reserve(now, 40<<20)
+	running.StartPeerWait(now)
+	stalled.StartPeerWait(now.Add(10 * time.Millisecond))
+	stalled.Reserve(now, 47<<20)
+	now = now.Add(time.Second)
+	if got := wanting.Reserve(now, 10<<20); got != Pending || evictions["running"] != 1 {
+		t.Fatalf("got result %d and evictions %v, want the holder that waits longest evicted", got, evictions)
+	}
+	// The request that is received ends, the one that runs does not.
+	running.EndPeerWait()
+	now = now.Add(maxReleaseTime / 2)
+	if got := wanting.Reserve(now, 10<<20); got != Pending || evictions["stalled"] != 0 {
+		t.Errorf("got result %d and evictions %v, want no other eviction yet", got, evictions)
+	}
+	now = now.Add(maxReleaseTime)
+	if got := wanting.Reserve(now, 10<<20); got != Pending || evictions["stalled"] != 1 {
+		t.Errorf("got result %d and evictions %v, want the next holder evicted", got, evictions)
+	}
+	stalled.EndPeerWait()
+	now = now.Add(2 * maxReleaseTime)
+	if got := wanting.Reserve(now, 10<<20); got != Refused {
+		t.Errorf("got result %d, want %d while none can be evicted", got, Refused)
+	}
+	// The answer to the request is not read.
+	running.StartPeerWait(now)
+	now = now.Add(minStallTime)
+	if got := wanting.Reserve(now, 10<<20); got != Pending || evictions["running"] != 2 {
+		t.Errorf("got result %d and evictions %v, want the holder evicted again", got, evictions)
+	}
+}
