Send the answer to a request that has run although a later one of its connection stalls

Cause: an evicted connection got no more bytes at all, so the answer to an earlier request of a pipeline was dropped and the connection closed. Change: an eviction binds only reservations for requests that are received (Reserve), not those for answers (ReserveAnswer). Result: TestAnswerBeforeStalledRequest got an unexpected EOF before. It now gets the answer and then the 503.

--- a/internal/acceptor/memory.go
+++ b/internal/acceptor/memory.go
@@ -67,7 +67,7 @@
 
 // reserve reserves memory for the request that is being read.
 func (c *conn) reserve(size int64) error {
-	if accountant.ReserveWithRetry(time.Now, &c.holder, size) {
+	if accountant.ReserveWithRetry(time.Now, c.holder.Reserve, size) {
 		c.requestBytes += size
 		return nil
 	}
@@ -103,7 +103,7 @@
 		e.reservedBytes = size
 		return r
 	}
-	if accountant.ReserveWithRetry(time.Now, &c.holder, change) {
+	if accountant.ReserveWithRetry(time.Now, c.holder.ReserveAnswer, change) {
 		e.reservedBytes = size
 		return r
 	}
--- a/internal/acceptor/stalled_test.go
+++ b/internal/acceptor/stalled_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -57,3 +58,24 @@
 		t.Errorf("got %d evictions, want none", got)
 	}
 }
+
+// TestAnswerBeforeStalledRequest guards against the answer to a request that has run and is
+// dropped because a later request of the connection stalls.
+func TestAnswerBeforeStalledRequest(t *testing.T) {
+	evicted := make(chan struct{})
+	s, dial := newAccountServer(t, 64<<20, func(context.Context, *Request) *Response {
+		<-evicted
+		return &Response{Status: http.StatusOK, Body: make([]byte, 5000)}
+	})
+	c := dial()
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\nPOST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\nx")
+	waitFor(t, func() bool { return s.Account.EvictStalled(time.Now(), 1) == 1 })
+	close(evicted)
+	r := bufio.NewReader(c)
+	if got, body := readResponse(t, r, http.MethodGet); got != http.StatusOK || len(body) != 5000 {
+		t.Errorf("got status %d with %d bytes, want the answer", got, len(body))
+	}
+	if got, _ := readResponse(t, r, http.MethodPost); got != http.StatusServiceUnavailable {
+		t.Errorf("got status %d for the request that stalls, want 503", got)
+	}
+}
--- a/internal/accountant/account.go
+++ b/internal/accountant/account.go
@@ -150,7 +150,7 @@
 	return a.usedBytes.Load()
 }
 
-// Evicted reports whether the holder was evicted. It gets no more bytes then.
+// Evicted reports whether the holder was evicted. It gets no more bytes for requests then.
 func (h *Holder) Evicted() bool {
 	return h.evicted.Load()
 }
@@ -194,15 +194,22 @@
 	to.heldBytes.Add(bytes)
 }
 
-// Reserve reserves bytes. If the account is short, it evicts other holders.
+// Reserve reserves bytes of a request that is received. If the account is short, it evicts other
+// holders. It grants nothing to an evicted holder.
 func (h *Holder) Reserve(now time.Time, bytes int64) Result {
+	if h.evicted.Load() && bytes > 0 {
+		return Refused
+	}
+	return h.ReserveAnswer(now, bytes)
+}
+
+// ReserveAnswer reserves bytes of the answer to a request that has run. Unlike Reserve, it does so
+// for an evicted holder too: the eviction concerns another request of it that stalls.
+func (h *Holder) ReserveAnswer(now time.Time, bytes int64) Result {
 	a := h.account
 	if a == nil || bytes <= 0 {
 		return Granted
 	}
-	if h.evicted.Load() {
-		return Refused
-	}
 	limitBytes := a.sizeBytes
 	if h.heldBytes.Load()+bytes > SmallBytes {
 		limitBytes -= a.smallShareBytes
--- a/internal/accountant/retry.go
+++ b/internal/accountant/retry.go
@@ -9,11 +9,11 @@
 	maxReserveRetries = 50
 )
 
-// ReserveWithRetry reserves bytes. While evicted holders release theirs, it tries again for at
-// most 100 ms. now returns the time.
-func ReserveWithRetry(now func() time.Time, h *Holder, bytes int64) (reserved bool) {
+// ReserveWithRetry reserves bytes by a method of a holder. While evicted holders release theirs,
+// it tries again for at most 100 ms. now returns the time.
+func ReserveWithRetry(now func() time.Time, reserve func(now time.Time, bytes int64) Result, bytes int64) (reserved bool) {
 	for range maxReserveRetries {
-		switch h.Reserve(now(), bytes) {
+		switch reserve(now(), bytes) {
 		case Granted:
 			return true
 		case Refused:
--- a/internal/invoker/response.go
+++ b/internal/invoker/response.go
@@ -204,7 +204,7 @@
 			// One byte more than the rest finds the end.
 			size = min(size, limited.N+1)
 		}
-		if !accountant.ReserveWithRetry(time.Now, &c.holder, size) {
+		if !accountant.ReserveWithRetry(time.Now, c.holder.ReserveAnswer, size) {
 			return nil, nil, ErrMemoryShort
 		}
 		reservedBytes += size
--- a/internal/linker/assembly.go
+++ b/internal/linker/assembly.go
@@ -153,7 +153,7 @@
 	load := fromLoad(l.handlers.Load())
 	if change := size - c.body.holder.HeldBytes(); change <= 0 {
 		c.body.holder.Release(-change)
-	} else if !accountant.ReserveWithRetry(l.clock.Now, &c.body.holder, change) {
+	} else if !accountant.ReserveWithRetry(l.clock.Now, c.body.holder.ReserveAnswer, change) {
 		c.body.release()
 		l.RefusedForMemory.Add(1)
 		refusal := exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonMemory, "the memory of node %s is short for the answer", l.self.Name)
