Answer a head that is cut off within a line by the limit that cut it off

Cause: a reader of lines returns the part of a line instead of the error of the connection, and the parser took that for a malformed head. Callers got 400 instead of 503 when memory was short or the connection was evicted, and instead of 408 after the header timeout. 431 was right, as such a head ends within the buffer of the reader. Change: the connection keeps the last error that shows a limit of the server, and that decides.

--- a/internal/acceptor/requestreader.go
+++ b/internal/acceptor/requestreader.go
@@ -48,7 +48,13 @@
 	now := time.Now()
 	c.holder.StartPeerWait(now)
 	defer c.holder.EndPeerWait()
+	c.socketReader.resume()
 	defer func() {
+		// A reader of lines returns what it has of a line instead of the error, and the
+		// parser takes that for a malformed head.
+		if err != nil && c.socketReader.limitErr != nil {
+			err = c.socketReader.limitErr
+		}
 		if err != nil && c.holder.Evicted() && errors.Is(err, os.ErrDeadlineExceeded) {
 			err = errEvicted
 		}
--- a/internal/acceptor/socketreader.go
+++ b/internal/acceptor/socketreader.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"syscall"
 )
 
@@ -22,6 +23,9 @@
 	// on only once, and not at all if part of a line is in its buffer.
 	onData    func([]byte) error
 	onDataErr error
+	// limitErr is the last error that shows a limit of the server and not a disconnect:
+	// that of onData, errHeadTooLarge or os.ErrDeadlineExceeded. resume resets it.
+	limitErr error
 	// onProgress is called after each progressBytes that were read.
 	onProgress func()
 	// unrecordedBytes counts the bytes that were read since then.
@@ -48,6 +52,7 @@
 		return 0, sr.onDataErr
 	}
 	if sr.remainingBytes <= 0 {
+		sr.limitErr = errHeadTooLarge
 		return 0, errHeadTooLarge
 	}
 	n, err = sr.read(p)
@@ -58,15 +63,19 @@
 	}
 	if n > 0 && sr.onData != nil {
 		if sr.onDataErr = sr.onData(p[:n]); sr.onDataErr != nil {
+			sr.limitErr = sr.onDataErr
 			return 0, sr.onDataErr
 		}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		sr.limitErr = err
+	}
 	return n, err
 }
 
-// resume lets reads go on after an error of onData.
+// resume lets reads go on after an error of onData, and forgets earlier errors.
 func (sr *socketReader) resume() {
-	sr.onDataErr = nil
+	sr.onDataErr, sr.limitErr = nil, nil
 }
 
 // read reads once. It uses the raw socket because net.Conn does not report when a read
