Compute the digest of a request that lost its connection outside the lock

Cause: the tracker of crash suspects read the whole body for its digest while its lock was held, at each lost connection and, with suspects, at each start and end of a request. All calls of the node wait for that lock. Change: the digest is computed before the lock is taken, only where it is needed. Result: TestDigestIsNotComputedAgain passes. It can't run against the code before, which has no such step.

--- a/internal/guardian/crashsuspects.go
+++ b/internal/guardian/crashsuspects.go
@@ -80,10 +80,11 @@
 
 // start records that a call is about to run, under an ID, or refuses it.
 func (s *crashSuspects) start(c *exchanger.Call) (id uint64, refusal *exchanger.Refusal) {
+	i := s.identity(c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastID++
-	verdict, timeLeft := s.tracker.Start(s.clock.Now(), s.lastID, suspectIdentity(c))
+	verdict, timeLeft := s.tracker.Start(s.clock.Now(), s.lastID, i)
 	switch verdict {
 	case suspecter.VerdictRefuse:
 		refusal = exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonCrashRequest, "the request ran when %d backend servers crashed", crashesToRefuse)
@@ -97,17 +98,21 @@
 
 // finish records the end of a call whose connection was not lost. answered reports whether
 // the server has answered it. The returned suspects must be sent to the other nodes.
-func (s *crashSuspects) finish(id uint64, answered bool) (changed []suspecter.Suspect) {
+func (s *crashSuspects) finish(id uint64, c *exchanger.Call, answered bool) (changed []suspecter.Suspect) {
+	i := s.identity(c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.tracker.SetIdentity(id, i)
 	return s.tracker.Finish(s.clock.Now(), id, answered)
 }
 
 // recordLost records that the connection of a call was lost, and returns the time of it.
-func (s *crashSuspects) recordLost(id uint64) time.Time {
+func (s *crashSuspects) recordLost(id uint64, c *exchanger.Call) time.Time {
+	i := suspectIdentity(c).WithDigest()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
+	s.tracker.SetIdentity(id, i)
 	s.tracker.RecordLostConnection(now, id)
 	return now
 }
@@ -122,20 +127,34 @@
 
 // refused reports whether a call is refused on all nodes.
 func (s *crashSuspects) refused(c *exchanger.Call) bool {
+	i := s.identity(c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, refused := s.tracker.RefusedFor(s.clock.Now(), suspectIdentity(c))
+	_, refused := s.tracker.RefusedFor(s.clock.Now(), i)
 	return refused
 }
 
+// identity returns the identity of a call. If there are suspects, with which it is compared, its
+// digest is computed, as the lock must not be held while a large body is read.
+func (s *crashSuspects) identity(c *exchanger.Call) suspecter.RequestIdentity {
+	s.mu.Lock()
+	hasSuspects := s.tracker.SuspectCount() > 0
+	s.mu.Unlock()
+	i := suspectIdentity(c)
+	if hasSuspects {
+		return i.WithDigest()
+	}
+	return i
+}
+
 // finishSuspect records the end of a call for crash detection. It returns the refusal to pass
 // on, which says of a crash request that it must not be tried elsewhere.
 func (g *Guardian) finishSuspect(id uint64, c *exchanger.Call, r *exchanger.Refusal) *exchanger.Refusal {
 	if r == nil || r.Reason != exchanger.ReasonBroken {
-		g.shareSuspects(g.suspects.finish(id, r == nil))
+		g.shareSuspects(g.suspects.finish(id, c, r == nil))
 		return r
 	}
-	g.probeForCrash(g.suspects.recordLost(id))
+	g.probeForCrash(g.suspects.recordLost(id, c))
 	if !g.suspects.refused(c) {
 		return r
 	}
--- a/internal/suspecter/crashtracker.go
+++ b/internal/suspecter/crashtracker.go
@@ -63,6 +63,9 @@
 		Body []byte
 		// MoreBody holds the parts of the body that follow Body, in order.
 		MoreBody [][]byte
+
+		// digest is the digest if it was computed before.
+		digest *Digest
 	}
 
 	// Suspect is a request that was in flight when a server crashed.
@@ -112,8 +115,11 @@
 	}
 )
 
-// NewDigest returns the digest of i.
+// NewDigest returns the digest of i. It reads the whole body, unless WithDigest has done so.
 func NewDigest(i RequestIdentity) (d Digest) {
+	if i.digest != nil {
+		return *i.digest
+	}
 	h := sha256.New()
 	for _, part := range []string{i.Customer, i.CallerService, i.Service, i.Route, i.Method, i.Path, i.Query} {
 		var length [8]byte
@@ -129,6 +135,21 @@
 	return d
 }
 
+// WithDigest returns i with its digest computed, so that a tracker does not read the body while
+// its caller holds a lock.
+func (i RequestIdentity) WithDigest() RequestIdentity {
+	d := NewDigest(i)
+	i.digest = &d
+	return i
+}
+
+// SetIdentity replaces the identity of a request in flight by the same one with its digest.
+func (t *CrashTracker) SetIdentity(id uint64, i RequestIdentity) {
+	if _, found := t.inFlight[id]; found {
+		t.inFlight[id] = i
+	}
+}
+
 // RetractCrash retracts the crash of an incarnation that proves to be alive. The
 // returned suspects, without ExpiresAt, must be sent to the other nodes.
 func (t *CrashTracker) RetractCrash(now time.Time, incarnation string) (changed []Suspect) {
--- a/internal/suspecter/crashtracker_test.go
+++ b/internal/suspecter/crashtracker_test.go
@@ -197,3 +197,26 @@
 		}
 	})
 }
+
+// TestDigestIsNotComputedAgain guards against bodies that are read while the lock of the tracker
+// is held, although their digest is known.
+func TestDigestIsNotComputedAgain(t *testing.T) {
+	i := newIdentity(1)
+	i.Body, i.MoreBody = []byte("first"), [][]byte{[]byte("second")}
+	want := NewDigest(i)
+	var tracker CrashTracker
+	tracker.Start(epoch, 1, i)
+	known := i.WithDigest()
+	tracker.SetIdentity(1, known)
+	// A body that is read again would give another digest.
+	known.MoreBody[0][0] = 'x'
+	tracker.RecordLostConnection(epoch, 1)
+	changed := tracker.RecordCrash(epoch, "a")
+	if len(changed) != 1 || changed[0].Digest != want {
+		t.Errorf("got suspects %v, want the one with the known digest", changed)
+	}
+	tracker.SetIdentity(2, known)
+	if len(tracker.inFlight) != 0 {
+		t.Errorf("got %d requests in flight, want none", len(tracker.inFlight))
+	}
+}
