Close lingering connections at the bound on sockets, and evict none while the node drains

Cause: a refused connection that its caller keeps open is read for 500 ms, and at MaxSockets no connection was accepted meanwhile. While the node drained, callers were evicted for new ones. Change: at the bound, connections whose last response was written are closed after 50 ms, before idle ones. No caller is evicted for connections while the server drains. Result: TestRefusedConnectionsMakeRoom ran into its deadline before and TestNoEvictionWhileDraining got 503; both pass now.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -187,10 +187,11 @@
 	return !s.closed && len(s.conns)+len(s.closingConns) >= s.MaxSockets
 }
 
-// makeRoom closes idle connections or, if there are none, those that have waited longest for
-// their callers without progress.
+// makeRoom closes connections whose last response was written or, if there are none, idle ones.
+// If there are none either and the server does not drain, it closes those that have waited
+// longest for their callers without progress.
 func (s *Server) makeRoom() {
-	if s.dropIdleConns(s.minIdleTime()) == 0 {
+	if s.closeLingering() == 0 && s.dropIdleConns(s.minIdleTime()) == 0 && !s.Draining() {
 		s.Account.EvictStalled(time.Now(), max(1, s.OpenConnections()/dropDivisor))
 	}
 }
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -58,6 +58,8 @@
 		// lingerTimeout is how long the connection is still read after its write
 		// side was closed.
 		lingerTimeout time.Duration
+		// writeClosedAt is when the write side was closed; zero before that.
+		writeClosedAt time.Time
 		// idleFrom is when the queue last became empty.
 		idleFrom time.Time
 	}
@@ -177,6 +179,18 @@
 	return true
 }
 
+// closeIfLingering closes the connection if its write side was closed at least
+// droppedLingerTimeout ago, and reports whether it did.
+func (c *conn) closeIfLingering() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeClosedAt.IsZero() || time.Since(c.writeClosedAt) < droppedLingerTimeout {
+		return false
+	}
+	c.socket.Close()
+	return true
+}
+
 // idleSince returns whether the connection is idle, and since when.
 func (c *conn) idleSince() (since time.Time, idle bool) {
 	c.mu.Lock()
@@ -352,7 +366,8 @@
 	if halfCloser, ok := c.socket.(interface{ CloseWrite() error }); ok {
 		_ = halfCloser.CloseWrite()
 	}
-	_ = c.socket.SetReadDeadline(time.Now().Add(c.lingerTimeout))
+	c.writeClosedAt = time.Now()
+	_ = c.socket.SetReadDeadline(c.writeClosedAt.Add(c.lingerTimeout))
 }
 
 // discardInput reads and discards data until the caller disconnects or the read deadline
--- a/internal/acceptor/idleconns.go
+++ b/internal/acceptor/idleconns.go
@@ -40,6 +40,19 @@
 	return dropped
 }
 
+// closeLingering closes the connections that are only read until their linger timeout, after
+// droppedLingerTimeout, and returns their number.
+func (s *Server) closeLingering() (closed int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.closeIfLingering() {
+			closed++
+		}
+	}
+	return closed
+}
+
 // closeIfIdle closes a connection if it is idle and reports whether it did. A closed
 // connection no longer counts as open.
 func (s *Server) closeIfIdle(c *conn) bool {
--- a/internal/acceptor/stalled_test.go
+++ b/internal/acceptor/stalled_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,3 +80,36 @@
 		t.Errorf("got status %d for the request that stalls, want 503", got)
 	}
 }
+
+// TestRefusedConnectionsMakeRoom guards against refused callers that keep their connections open
+// and so keep others out for the whole linger timeout each.
+func TestRefusedConnectionsMakeRoom(t *testing.T) {
+	_, dial := newConfiguredServer(t, func(s *Server) { s.MaxSockets = 1 }, answerOK)
+	// Together their linger timeouts are longer than the deadline of the last caller.
+	for range 60 {
+		fmt.Fprint(dial(), "x\r\n\r\n")
+	}
+	c := dial()
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	if got, _ := readResponse(t, bufio.NewReader(c), http.MethodGet); got != http.StatusOK {
+		t.Errorf("got status %d behind refused callers, want 200", got)
+	}
+}
+
+// TestNoEvictionWhileDraining guards against slow callers that are evicted for new connections
+// while the server drains.
+func TestNoEvictionWhileDraining(t *testing.T) {
+	var draining atomic.Bool
+	s, dial := newConfiguredServer(t, func(s *Server) {
+		s.MaxSockets, s.Account, s.Draining = 1, accountant.New(64<<20), draining.Load
+	}, answerOK)
+	draining.Store(true)
+	c := dial()
+	fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nx")
+	waitFor(t, func() bool { return s.Account.UsedBytes() > 0 })
+	time.Sleep(700 * time.Millisecond)
+	fmt.Fprint(c, "x")
+	if got, _ := readResponse(t, bufio.NewReader(c), http.MethodPost); got != http.StatusOK || s.Account.Evictions() != 0 {
+		t.Errorf("got status %d and %d evictions, want 200 and none", got, s.Account.Evictions())
+	}
+}
