Save a copy of the queue, a system call and steps of the clock in the memory account

Cause: each end of a call over 64 KiB copied the whole queue of its link. An answer over 16 KiB took one write for its head and one for its body. The time without progress followed steps of the wall clock. Change: the queue is copied only if it holds parts of the call. Head and body are written together, in pieces of at most 256 KiB. Progress is measured by the monotonic clock. Not measured: the time that the saved write takes.

--- a/internal/acceptor/memory.go
+++ b/internal/acceptor/memory.go
@@ -141,17 +141,17 @@
 	clear(out)
 }
 
-// writeParts writes the parts in pieces, so that progress of the caller is seen.
+// writeParts writes the parts in pieces of at most maxWriteBytes, so that progress of the caller
+// is seen. Each piece takes one system call where the socket has room for it.
 func (c *conn) writeParts(out net.Buffers) (err error) {
-	for _, part := range out {
-		for err == nil && len(part) > 0 && !c.writeEvicted.Load() {
-			var n int
-			n, err = c.socket.Write(part[:min(len(part), maxWriteBytes)])
-			part = part[n:]
-			if len(part) > 0 || len(out) > 1 {
-				c.holder.RecordProgress(time.Now())
-			}
+	for err == nil && len(out) > 0 && !c.writeEvicted.Load() {
+		if len(out) == 1 && len(out[0]) <= maxWriteBytes {
+			_, err = c.socket.Write(out[0])
+			break
 		}
+		piece := takePiece(&out)
+		_, err = piece.WriteTo(c.socket)
+		c.holder.RecordProgress(time.Now())
 	}
 	if c.writeEvicted.Load() {
 		c.server.DroppedResponses.Add(1)
@@ -161,6 +161,22 @@
 	return err
 }
 
+// takePiece removes at most maxWriteBytes from the front of out and returns them.
+func takePiece(out *net.Buffers) (piece net.Buffers) {
+	for room := maxWriteBytes; len(*out) > 0 && room > 0; {
+		part := (*out)[0]
+		n := min(len(part), room)
+		piece = append(piece, part[:n])
+		room -= n
+		if n < len(part) {
+			(*out)[0] = part[n:]
+			break
+		}
+		*out = (*out)[1:]
+	}
+	return piece
+}
+
 // dequeue removes the first exchanges from the queue. The caller holds the lock.
 func (c *conn) dequeue(count int) {
 	for _, e := range c.queue[:count] {
--- a/internal/accountant/account.go
+++ b/internal/accountant/account.go
@@ -44,6 +44,9 @@
 	Refused
 )
 
+// processStart is the origin of monotonic times, which do not follow steps of the wall clock.
+var processStart = time.Now()
+
 type (
 	// Account is the memory account of a node. A nil Account grants everything and counts
 	// nothing. It is safe for concurrent use.
@@ -69,7 +72,8 @@
 		// peerWaits counts the operations that wait for the peer. The holder may be evicted
 		// while it is not 0.
 		peerWaits atomic.Int32
-		// progressAt is when the peer last made progress, in nanoseconds since 1970.
+		// progressAt is when the peer last made progress, in nanoseconds since
+		// processStart.
 		progressAt atomic.Int64
 		evicted    atomic.Bool
 		// evictedAt is when the holder was last evicted. The account's lock guards it.
@@ -82,7 +86,7 @@
 	// stalledHolder is a holder that may be evicted, as a search has found it.
 	stalledHolder struct {
 		holder *Holder
-		// progressAt is in nanoseconds since 1970.
+		// progressAt is in nanoseconds since processStart.
 		progressAt, bytes int64
 	}
 )
@@ -162,7 +166,7 @@
 
 // StartPeerWait records that the holder waits for its peer from now on.
 func (h *Holder) StartPeerWait(now time.Time) {
-	h.progressAt.Store(now.UnixNano())
+	h.progressAt.Store(monotonicNanos(now))
 	h.peerWaits.Add(1)
 }
 
@@ -173,7 +177,7 @@
 
 // RecordProgress records that the peer has sent or received data.
 func (h *Holder) RecordProgress(now time.Time) {
-	h.progressAt.Store(now.UnixNano())
+	h.progressAt.Store(monotonicNanos(now))
 }
 
 // Release gives back bytes that Reserve has granted.
@@ -284,7 +288,7 @@
 		case bytes == 0:
 		case h.evicted.Load() && now.Sub(h.evictedAt) < maxReleaseTime:
 			a.releasingBytes += bytes
-		case h.peerWaits.Load() > 0 && now.UnixNano()-progressAt >= int64(minStallTime):
+		case h.peerWaits.Load() > 0 && monotonicNanos(now)-progressAt >= int64(minStallTime):
 			stalled = append(stalled, stalledHolder{holder: h, progressAt: progressAt, bytes: bytes})
 		}
 	}
@@ -300,3 +304,9 @@
 	a.evictions.Add(1)
 	a.releasingBytes += s.bytes
 }
+
+// monotonicNanos returns the nanoseconds from processStart to t, by the monotonic clock if t has a
+// reading of it.
+func monotonicNanos(t time.Time) int64 {
+	return int64(t.Sub(processStart))
+}
--- a/internal/linker/session.go
+++ b/internal/linker/session.go
@@ -169,8 +169,12 @@
 func (s *session) dropData(number uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	isData := func(f *framer.Frame) bool { return f.GetNumber() == number && f.GetData() != nil }
+	if !slices.ContainsFunc(s.queue, isData) {
+		return
+	}
 	// A batch that is being sent may share the queue's array, so that is not changed.
-	s.queue = slices.DeleteFunc(slices.Clone(s.queue), func(f *framer.Frame) bool { return f.GetNumber() == number && f.GetData() != nil })
+	s.queue = slices.DeleteFunc(slices.Clone(s.queue), isData)
 }
 
 // withdraw removes a call from the queue if it has not been sent yet, and reports whether
--- a/internal/linker/session_test.go
+++ b/internal/linker/session_test.go
@@ -48,3 +48,15 @@
 	}
 	s.close()
 }
+
+// TestDropDataKeepsQueue guards against a copy of the whole queue at the end of each call with a
+// large body, none of which is queued any more.
+func TestDropDataKeepsQueue(t *testing.T) {
+	s := newSession(timekeeper.SystemClock{}, nil, func() {})
+	for i := range uint64(100) {
+		s.enqueue(&framer.Frame{Number: i, Cancel: true})
+	}
+	if got := testing.AllocsPerRun(100, func() { s.dropData(1000) }); got != 0 {
+		t.Errorf("got %v allocations, want none", got)
+	}
+}
