Send small calls over a link before the parts of large bodies

Cause: a link had one queue in order of arrival, so a small call waited until all parts of the large bodies that were queued before it were sent. Change: parts of bodies wait in a queue of their own, in which the calls take turns. A message takes other frames first and at least one part. Parts of a call become ready once its first frame is taken, so their order is kept, and messages are as large as before. Not measured: the delay of small calls under load.

--- a/internal/linker/session.go
+++ b/internal/linker/session.go
@@ -46,8 +46,11 @@
 		// side is silent.
 		retired chan struct{}
 
-		mu     sync.Mutex
+		mu sync.Mutex
+		// queue holds the frames to send, except those with further parts of bodies,
+		// which wait in data behind them.
 		queue  []*framer.Frame
+		data   dataQueue
 		closed bool
 		// sending is set while the frames that were taken from the queue last are being
 		// sent.
@@ -108,7 +111,7 @@
 func (s *session) allSent() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.closed || len(s.queue) == 0 && !s.sending
+	return s.closed || len(s.queue) == 0 && s.data.isEmpty() && !s.sending
 }
 
 // isRetired reports whether the session gets no new exchanges.
@@ -157,7 +160,16 @@
 	if s.closed {
 		return false
 	}
-	s.queue = append(s.queue, frames...)
+	for _, f := range frames {
+		if f.GetData() != nil {
+			s.data.add(f)
+			continue
+		}
+		s.queue = append(s.queue, f)
+		if f.GetMore() {
+			s.data.hold(f.GetNumber())
+		}
+	}
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -169,12 +181,7 @@
 func (s *session) dropData(number uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	isData := func(f *framer.Frame) bool { return f.GetNumber() == number && f.GetData() != nil }
-	if !slices.ContainsFunc(s.queue, isData) {
-		return
-	}
-	// A batch that is being sent may share the queue's array, so that is not changed.
-	s.queue = slices.DeleteFunc(slices.Clone(s.queue), isData)
+	s.data.remove(number)
 }
 
 // withdraw removes a call from the queue if it has not been sent yet, and reports whether
@@ -188,6 +195,7 @@
 	}
 	// A batch that is being sent may share the queue's array, so that is not changed.
 	s.queue = slices.DeleteFunc(slices.Clone(s.queue), func(f *framer.Frame) bool { return f.GetNumber() == number })
+	s.data.remove(number)
 	return true
 }
 
@@ -245,7 +253,9 @@
 	return len(encodable) == 0 || s.stream.Send(&framer.Batch{Frames: encodable}) == nil
 }
 
-// nextBatch removes the frames of the next message from the queue and returns them.
+// nextBatch removes the frames of the next message from the queues and returns them. Frames with
+// further parts of large bodies come last, so that small calls do not wait for them. Each batch
+// has room for at least one of them, so that they are sent under any load.
 func (s *session) nextBatch() (frames []*framer.Frame) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -255,21 +265,38 @@
 	}
 	s.outgoing.Release(s.sentReplyBytes)
 	s.sentReplyBytes = 0
+	maxBytes := maxBatchBytes
+	if !s.data.isEmpty() {
+		maxBytes -= maxFrameBodyBytes
+	}
 	size, count := 0, 0
-	for count < len(s.queue) && (count == 0 || size < maxBatchBytes) {
-		f := s.queue[count]
-		size += len(f.GetRun().GetBody()) + len(f.GetReply().GetBody()) + len(f.GetData()) + len(f.GetState())
+	for count < len(s.queue) && (count == 0 || size < maxBytes) {
+		size += s.takeFrame(s.queue[count])
 		count++
-		if replyBytes := s.replyBytes[f]; replyBytes > 0 {
-			s.sentReplyBytes += replyBytes
-			delete(s.replyBytes, f)
-		}
 	}
 	frames = s.queue[:count:count]
 	s.queue = s.queue[count:]
 	if len(s.queue) == 0 {
 		s.queue = nil
 	}
+	for !s.data.isEmpty() && size < maxBatchBytes {
+		f := s.data.take()
+		size += s.takeFrame(f)
+		frames = append(frames, f)
+	}
 	s.sending = len(frames) > 0
 	return frames
 }
+
+// takeFrame records that a frame is part of the next message, and returns its size. The caller
+// holds the lock.
+func (s *session) takeFrame(f *framer.Frame) (size int) {
+	if replyBytes := s.replyBytes[f]; replyBytes > 0 {
+		s.sentReplyBytes += replyBytes
+		delete(s.replyBytes, f)
+	}
+	if f.GetMore() && f.GetData() == nil {
+		s.data.unhold(f.GetNumber())
+	}
+	return len(f.GetRun().GetBody()) + len(f.GetReply().GetBody()) + len(f.GetData()) + len(f.GetState())
+}
