--- a/internal/acceptor/memory.go
+++ b/internal/acceptor/memory.go
@@ -11,10 +11,6 @@
 )
 
 const (
-	// reserveRetryDelay is the pause between two reservations while evicted connections
-	// release their memory, and maxReserveRetries bounds their number.
-	reserveRetryDelay = 2 * time.Millisecond
-	maxReserveRetries = 50
 	// maxWriteBytes is how much of a response is written at once. Each write that ends is
 	// progress of the caller.
 	maxWriteBytes = 256 << 10
@@ -71,7 +67,7 @@
 
 // reserve reserves memory for the request that is being read.
 func (c *conn) reserve(size int64) error {
-	if c.reserveOrWait(size) {
+	if accountant.ReserveWithRetry(time.Now, c.holder.Reserve, size) {
 		c.requestBytes += size
 		return nil
 	}
@@ -93,21 +89,6 @@
 	c.requestBytes = 0
 }
 
-// reserveOrWait reserves memory. It waits a short time for that of evicted connections.
-func (c *conn) reserveOrWait(size int64) (reserved bool) {
-	for range maxReserveRetries {
-		switch c.holder.Reserve(time.Now(), size) {
-		case accountant.Granted:
-			return true
-		case accountant.Refused:
-			return false
-		case accountant.Pending:
-			time.Sleep(reserveRetryDelay)
-		}
-	}
-	return false
-}
-
 // reserveResponse replaces the memory of a request, which has ended, by that of its response.
 // If memory is short, it closes the connection, as the request may have run, and returns a
 // response without a body.
@@ -122,11 +103,11 @@
 		e.reservedBytes = size
 		return r
 	}
-	if c.reserveOrWait(change) {
+	if accountant.ReserveWithRetry(time.Now, c.holder.ReserveAnswer, change) {
 		e.reservedBytes = size
 		return r
 	}
-	c.server.UnreadResponses.Add(1)
+	c.server.DroppedResponses.Add(1)
 	c.server.logClosed(c, errMemoryShort)
 	c.socket.Close()
 	return &Response{Status: http.StatusBadGateway}
@@ -149,9 +130,9 @@
 	c.mu.Unlock()
 	defer c.mu.Lock()
 	now := time.Now()
-	c.holder.StartWait(now)
+	c.holder.StartPeerWait(now)
 	c.writeWaits.Store(true)
-	defer c.holder.EndWait()
+	defer c.holder.EndPeerWait()
 	defer c.writeWaits.Store(false)
 	_ = c.socket.SetWriteDeadline(now.Add(writeTimeout))
 	if err := c.writeParts(out); err != nil {
@@ -160,26 +141,42 @@
 	clear(out)
 }
 
-// writeParts writes the parts in pieces, so that progress of the caller is seen.
+// writeParts writes the parts in pieces of at most maxWriteBytes, so that progress of the caller
+// is seen. Each piece takes one system call where the socket has room for it.
 func (c *conn) writeParts(out net.Buffers) (err error) {
-	for _, part := range out {
-		for err == nil && len(part) > 0 && !c.writeEvicted.Load() {
-			var n int
-			n, err = c.socket.Write(part[:min(len(part), maxWriteBytes)])
-			part = part[n:]
-			if len(part) > 0 || len(out) > 1 {
-				c.holder.RecordProgress(time.Now())
-			}
+	for err == nil && len(out) > 0 && !c.writeEvicted.Load() {
+		if len(out) == 1 && len(out[0]) <= maxWriteBytes {
+			_, err = c.socket.Write(out[0])
+			break
 		}
+		piece := takePiece(&out)
+		_, err = piece.WriteTo(c.socket)
+		c.holder.RecordProgress(time.Now())
 	}
 	if c.writeEvicted.Load() {
-		c.server.UnreadResponses.Add(1)
+		c.server.DroppedResponses.Add(1)
 		c.server.logClosed(c, errEvicted)
 		return errEvicted
 	}
 	return err
 }
 
+// takePiece removes at most maxWriteBytes from the front of out and returns them.
+func takePiece(out *net.Buffers) (piece net.Buffers) {
+	for room := maxWriteBytes; len(*out) > 0 && room > 0; {
+		part := (*out)[0]
+		n := min(len(part), room)
+		piece = append(piece, part[:n])
+		room -= n
+		if n < len(part) {
+			(*out)[0] = part[n:]
+			break
+		}
+		*out = (*out)[1:]
+	}
+	return piece
+}
+
 // dequeue removes the first exchanges from the queue. The caller holds the lock.
 func (c *conn) dequeue(count int) {
 	for _, e := range c.queue[:count] {
@@ -203,5 +200,5 @@
 		action = "connection closed"
 	}
 	s.Logger.Warnf("%s, caller %s: %v; %d requests refused and %d connections closed with responses to send so far, %d of %d bytes in use",
-		action, c.socket.RemoteAddr(), reason, s.MemoryRefusals.Load(), s.UnreadResponses.Load(), s.Account.UsedBytes(), s.Account.SizeBytes())
+		action, c.socket.RemoteAddr(), reason, s.MemoryRefusals.Load(), s.DroppedResponses.Load(), s.Account.UsedBytes(), s.Account.SizeBytes())
 }
--- a/internal/acceptor/requestreader.go
+++ b/internal/acceptor/requestreader.go
@@ -46,9 +46,15 @@
 // requestBytes.
 func (c *conn) readRequest(limits Limits) (r *Request, err error) {
 	now := time.Now()
-	c.holder.StartWait(now)
-	defer c.holder.EndWait()
+	c.holder.StartPeerWait(now)
+	defer c.holder.EndPeerWait()
+	c.socketReader.resume()
 	defer func() {
+		// A reader of lines returns what it has of a line instead of the error, and the
+		// parser takes that for a malformed head.
+		if err != nil && c.socketReader.limitErr != nil {
+			err = c.socketReader.limitErr
+		}
 		if err != nil && c.holder.Evicted() && errors.Is(err, os.ErrDeadlineExceeded) {
 			err = errEvicted
 		}
@@ -170,7 +176,6 @@
 	default:
 		b.more = append(b.more, part)
 	}
-	b.conn.holder.RecordProgress(time.Now())
 	return ended, err
 }
 
--- a/internal/acceptor/socketreader.go
+++ b/internal/acceptor/socketreader.go
@@ -4,9 +4,14 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"syscall"
 )
 
+// progressBytes is how much a caller has to send before that is recorded as progress. Single
+// bytes are not, so that a caller can't hold memory by sending them.
+const progressBytes = 4 << 10
+
 // socketReader reads from a connection. Read fails once remainingBytes is used up.
 type socketReader struct {
 	// remainingBytes is the number of bytes that may still be read.
@@ -18,6 +23,13 @@
 	// on only once, and not at all if part of a line is in its buffer.
 	onData    func([]byte) error
 	onDataErr error
+	// limitErr is the last error that shows a limit of the server and not a disconnect:
+	// that of onData, errHeadTooLarge or os.ErrDeadlineExceeded. resume resets it.
+	limitErr error
+	// onProgress is called after each progressBytes that were read.
+	onProgress func()
+	// unrecordedBytes counts the bytes that were read since then.
+	unrecordedBytes int
 
 	socket net.Conn
 	// raw is nil if the connection is not a socket of the operating system.
@@ -25,7 +37,7 @@
 }
 
 func newSocketReader(socket net.Conn) *socketReader {
-	sr := &socketReader{socket: socket, onBlock: func() {}}
+	sr := &socketReader{socket: socket, onBlock: func() {}, onProgress: func() {}}
 	if s, ok := socket.(syscall.Conn); ok {
 		if raw, err := s.SyscallConn(); err == nil {
 			sr.raw = raw
@@ -40,21 +52,30 @@
 		return 0, sr.onDataErr
 	}
 	if sr.remainingBytes <= 0 {
+		sr.limitErr = errHeadTooLarge
 		return 0, errHeadTooLarge
 	}
 	n, err = sr.read(p)
 	sr.remainingBytes -= int64(n)
+	if sr.unrecordedBytes += n; sr.unrecordedBytes >= progressBytes {
+		sr.unrecordedBytes = 0
+		sr.onProgress()
+	}
 	if n > 0 && sr.onData != nil {
 		if sr.onDataErr = sr.onData(p[:n]); sr.onDataErr != nil {
+			sr.limitErr = sr.onDataErr
 			return 0, sr.onDataErr
 		}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		sr.limitErr = err
+	}
 	return n, err
 }
 
-// resume lets reads go on after an error of onData.
+// resume lets reads go on after an error of onData, and forgets earlier errors.
 func (sr *socketReader) resume() {
-	sr.onDataErr = nil
+	sr.onDataErr, sr.limitErr = nil, nil
 }
 
 // read reads once. It uses the raw socket because net.Conn does not report when a read
--- a/internal/accountant/account.go
+++ b/internal/accountant/account.go
@@ -24,6 +24,10 @@
 	// minScanInterval is the minimum time between two searches for holders to evict. A
 	// search visits all holders.
 	minScanInterval = 5 * time.Millisecond
+	// maxReleaseTime is how long the bytes of a holder count as being released after its
+	// eviction. What it holds then belongs to requests that run or to answers, and does not
+	// keep others from being evicted.
+	maxReleaseTime = 100 * time.Millisecond
 	// evictionReserveDivisor determines how much more than needed an eviction frees: the
 	// size divided by it. This keeps evictions rare.
 	evictionReserveDivisor = 16
@@ -40,9 +44,12 @@
 	Refused
 )
 
+// processStart is the origin of monotonic times, which do not follow steps of the wall clock.
+var processStart = time.Now()
+
 type (
-	// Account is the memory account of a node. A nil Account grants everything. It is safe
-	// for concurrent use.
+	// Account is the memory account of a node. A nil Account grants everything and counts
+	// nothing. It is safe for concurrent use.
 	Account struct {
 		sizeBytes, smallShareBytes int64
 		usedBytes                  atomic.Int64
@@ -50,10 +57,10 @@
 
 		mu      sync.Mutex
 		holders map[*Holder]struct{}
-		// scannedAt is when holders to evict were last searched. evictingBytes is what
-		// evicted holders had not released then.
-		scannedAt     time.Time
-		evictingBytes int64
+		// scannedAt is when holders to evict were last searched. releasingBytes is what
+		// the holders that were evicted at most maxReleaseTime before had not released then.
+		scannedAt      time.Time
+		releasingBytes int64
 	}
 
 	// Holder holds bytes of the account for one connection. The zero value has no account
@@ -62,12 +69,15 @@
 		account   *Account
 		evict     func()
 		heldBytes atomic.Int64
-		// waits counts the operations that wait for the peer. The holder may be evicted
+		// peerWaits counts the operations that wait for the peer. The holder may be evicted
 		// while it is not 0.
-		waits atomic.Int32
-		// progressAt is when the peer last made progress, in nanoseconds since 1970.
+		peerWaits atomic.Int32
+		// progressAt is when the peer last made progress, in nanoseconds since
+		// processStart.
 		progressAt atomic.Int64
 		evicted    atomic.Bool
+		// evictedAt is when the holder was last evicted. The account's lock guards it.
+		evictedAt time.Time
 	}
 
 	// Result is the result of a reservation.
@@ -76,7 +86,7 @@
 	// stalledHolder is a holder that may be evicted, as a search has found it.
 	stalledHolder struct {
 		holder *Holder
-		// progressAt is in nanoseconds since 1970.
+		// progressAt is in nanoseconds since processStart.
 		progressAt, bytes int64
 	}
 )
@@ -88,18 +98,25 @@
 
 // Evictions returns the number of holders that were evicted.
 func (a *Account) Evictions() int64 {
+	if a == nil {
+		return 0
+	}
 	return a.evictions.Load()
 }
 
 // Refusals returns the number of reservations that were not granted. A reservation that is
 // tried again counts each time.
 func (a *Account) Refusals() int64 {
+	if a == nil {
+		return 0
+	}
 	return a.refusals.Load()
 }
 
-// Register prepares a holder for use. evict is called at most once, with the account locked:
-// it must return at once, must not use the account, and makes the owner release the bytes. A
-// holder without evict is never evicted.
+// Register prepares a holder for use. evict is called with the account locked: it must return
+// at once, must not use the account, and makes the owner end the wait for the peer and release
+// the bytes of what is received or sent. It is called again if the holder still holds bytes and
+// waits for its peer without progress. A holder without evict is never evicted.
 func (a *Account) Register(h *Holder, evict func()) {
 	h.account, h.evict = a, evict
 	if a == nil || evict == nil {
@@ -112,6 +129,9 @@
 
 // SizeBytes returns the size of the account.
 func (a *Account) SizeBytes() int64 {
+	if a == nil {
+		return 0
+	}
 	return a.sizeBytes
 }
 
@@ -128,10 +148,13 @@
 
 // UsedBytes returns the number of bytes that are reserved.
 func (a *Account) UsedBytes() int64 {
+	if a == nil {
+		return 0
+	}
 	return a.usedBytes.Load()
 }
 
-// Evicted reports whether the holder was evicted. It gets no more bytes then.
+// Evicted reports whether the holder was evicted. It gets no more bytes for requests then.
 func (h *Holder) Evicted() bool {
 	return h.evicted.Load()
 }
@@ -141,20 +164,20 @@
 	return h.heldBytes.Load()
 }
 
-// StartWait records that the holder waits for its peer from now on.
-func (h *Holder) StartWait(now time.Time) {
-	h.progressAt.Store(now.UnixNano())
-	h.waits.Add(1)
+// StartPeerWait records that the holder waits for its peer from now on.
+func (h *Holder) StartPeerWait(now time.Time) {
+	h.progressAt.Store(monotonicNanos(now))
+	h.peerWaits.Add(1)
 }
 
-// EndWait ends a wait that StartWait has started.
-func (h *Holder) EndWait() {
-	h.waits.Add(-1)
+// EndPeerWait ends a wait that StartPeerWait has started.
+func (h *Holder) EndPeerWait() {
+	h.peerWaits.Add(-1)
 }
 
 // RecordProgress records that the peer has sent or received data.
 func (h *Holder) RecordProgress(now time.Time) {
-	h.progressAt.Store(now.UnixNano())
+	h.progressAt.Store(monotonicNanos(now))
 }
 
 // Release gives back bytes that Reserve has granted.
@@ -175,15 +198,22 @@
 	to.heldBytes.Add(bytes)
 }
 
-// Reserve reserves bytes. If the account is short, it evicts other holders.
+// Reserve reserves bytes of a request that is received. If the account is short, it evicts other
+// holders. It grants nothing to an evicted holder.
 func (h *Holder) Reserve(now time.Time, bytes int64) Result {
+	if h.evicted.Load() && bytes > 0 {
+		return Refused
+	}
+	return h.ReserveAnswer(now, bytes)
+}
+
+// ReserveAnswer reserves bytes of the answer to a request that has run. Unlike Reserve, it does so
+// for an evicted holder too: the eviction concerns another request of it that stalls.
+func (h *Holder) ReserveAnswer(now time.Time, bytes int64) Result {
 	a := h.account
 	if a == nil || bytes <= 0 {
 		return Granted
 	}
-	if h.evicted.Load() {
-		return Refused
-	}
 	limitBytes := a.sizeBytes
 	if h.heldBytes.Load()+bytes > SmallBytes {
 		limitBytes -= a.smallShareBytes
@@ -219,7 +249,7 @@
 		if evicted == count {
 			break
 		}
-		a.evict(s)
+		a.evict(now, s)
 		evicted++
 	}
 	return evicted
@@ -232,33 +262,33 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if now.Sub(a.scannedAt) < minScanInterval {
-		return a.evictingBytes > 0
+		return a.releasingBytes > 0
 	}
 	stalled := a.scan(now)
-	if a.evictingBytes >= neededBytes {
+	if a.releasingBytes >= neededBytes {
 		return true
 	}
 	neededBytes += a.sizeBytes / evictionReserveDivisor
 	for _, s := range stalled {
-		if a.evictingBytes >= neededBytes {
+		if a.releasingBytes >= neededBytes {
 			break
 		}
-		a.evict(s)
+		a.evict(now, s)
 	}
-	return a.evictingBytes > 0
+	return a.releasingBytes > 0
 }
 
 // scan returns the holders that may be evicted, the longest without progress first, and sets
-// evictingBytes. The caller holds the lock.
+// releasingBytes. The caller holds the lock.
 func (a *Account) scan(now time.Time) (stalled []stalledHolder) {
-	a.scannedAt, a.evictingBytes = now, 0
+	a.scannedAt, a.releasingBytes = now, 0
 	for h := range a.holders {
 		progressAt, bytes := h.progressAt.Load(), h.heldBytes.Load()
 		switch {
 		case bytes == 0:
-		case h.evicted.Load():
-			a.evictingBytes += bytes
-		case h.waits.Load() > 0 && now.UnixNano()-progressAt >= int64(minStallTime):
+		case h.evicted.Load() && now.Sub(h.evictedAt) < maxReleaseTime:
+			a.releasingBytes += bytes
+		case h.peerWaits.Load() > 0 && monotonicNanos(now)-progressAt >= int64(minStallTime):
 			stalled = append(stalled, stalledHolder{holder: h, progressAt: progressAt, bytes: bytes})
 		}
 	}
@@ -267,9 +297,16 @@
 }
 
 // evict evicts a holder. The caller holds the lock.
-func (a *Account) evict(s stalledHolder) {
+func (a *Account) evict(now time.Time, s stalledHolder) {
+	s.holder.evictedAt = now
 	s.holder.evicted.Store(true)
 	s.holder.evict()
 	a.evictions.Add(1)
-	a.evictingBytes += s.bytes
+	a.releasingBytes += s.bytes
+}
+
+// monotonicNanos returns the nanoseconds from processStart to t, by the monotonic clock if t has a
+// reading of it.
+func monotonicNanos(t time.Time) int64 {
+	return int64(t.Sub(processStart))
 }
--- a/internal/accountant/account_test.go
+++ b/internal/accountant/account_test.go
@@ -69,10 +69,10 @@
 				s.held -= bytes
 			case 2:
 				if s.waits = !s.waits; s.waits {
-					s.holder.StartWait(now)
+					s.holder.StartPeerWait(now)
 					s.progressAt = now
 				} else {
-					s.holder.EndWait()
+					s.holder.EndPeerWait()
 				}
 			case 3:
 				s.holder.RecordProgress(now)
@@ -103,13 +103,13 @@
 	a := New(8 << 20)
 	for i, name := range []string{"oldest", "second", "third"} {
 		h := newHolder(a, name, &evicted)
-		h.StartWait(start.Add(time.Duration(i) * time.Second))
+		h.StartPeerWait(start.Add(time.Duration(i) * time.Second))
 		if got := h.Reserve(start, 2<<20); got != Granted {
 			t.Fatalf("got %d for %s, want the bytes", got, name)
 		}
 	}
 	active := newHolder(a, "active", &evicted)
-	active.StartWait(start)
+	active.StartPeerWait(start)
 	active.Reserve(start, 1<<20)
 	now := start.Add(10 * time.Second)
 	active.RecordProgress(now)
@@ -164,3 +164,69 @@
 		}
 	})
 }
+
+// TestNoAccountWithoutInstanceMemory guards against refusals on an instance whose memory is not
+// in the settings, where the size of an account would be a guess.
+func TestNoAccountWithoutInstanceMemory(t *testing.T) {
+	a := NewForInstance(0)
+	var h Holder
+	a.Register(&h, func() {})
+	for i := range 32 {
+		if got := h.Reserve(time.Now(), 64<<20); got != Granted {
+			t.Fatalf("body %d of 64 MiB: got result %d, want %d", i, got, Granted)
+		}
+	}
+	if a.EvictStalled(time.Now().Add(time.Minute), 1) != 0 || h.Evicted() {
+		t.Error("got an eviction, want none")
+	}
+	for name, got := range map[string]int64{"size": a.SizeBytes(), "bytes in use": a.UsedBytes(), "evictions": a.Evictions(), "refusals": a.Refusals()} {
+		if got != 0 {
+			t.Errorf("%s: got %d, want 0", name, got)
+		}
+	}
+	if got, want := NewForInstance(184e6).SizeBytes(), SizeBytes(184e6); got != want {
+		t.Errorf("184 MB: got size %d, want %d", got, want)
+	}
+}
+
+// TestEvictedHolderThatKeepsBytes guards against an evicted holder that keeps the bytes of a
+// running request, and so keeps all others from being evicted.
+func TestEvictedHolderThatKeepsBytes(t *testing.T) {
+	const size = 100 << 20
+	a := New(size)
+	now := time.Now()
+	evictions := map[string]int{}
+	var running, stalled, wanting Holder
+	a.Register(&running, func() { evictions["running"]++ })
+	a.Register(&stalled, func() { evictions["stalled"]++ })
+	a.Register(&wanting, nil)
+	running.Reserve(now, 40<<20)
+	running.StartPeerWait(now)
+	stalled.StartPeerWait(now.Add(10 * time.Millisecond))
+	stalled.Reserve(now, 47<<20)
+	now = now.Add(time.Second)
+	if got := wanting.Reserve(now, 10<<20); got != Pending || evictions["running"] != 1 {
+		t.Fatalf("got result %d and evictions %v, want the holder that waits longest evicted", got, evictions)
+	}
+	// The request that is received ends, the one that runs does not.
+	running.EndPeerWait()
+	now = now.Add(maxReleaseTime / 2)
+	if got := wanting.Reserve(now, 10<<20); got != Pending || evictions["stalled"] != 0 {
+		t.Errorf("got result %d and evictions %v, want no other eviction yet", got, evictions)
+	}
+	now = now.Add(maxReleaseTime)
+	if got := wanting.Reserve(now, 10<<20); got != Pending || evictions["stalled"] != 1 {
+		t.Errorf("got result %d and evictions %v, want the next holder evicted", got, evictions)
+	}
+	stalled.EndPeerWait()
+	now = now.Add(2 * maxReleaseTime)
+	if got := wanting.Reserve(now, 10<<20); got != Refused {
+		t.Errorf("got result %d, want %d while none can be evicted", got, Refused)
+	}
+	// The answer to the request is not read.
+	running.StartPeerWait(now)
+	now = now.Add(minStallTime)
+	if got := wanting.Reserve(now, 10<<20); got != Pending || evictions["running"] != 2 {
+		t.Errorf("got result %d and evictions %v, want the holder evicted again", got, evictions)
+	}
+}
--- a/internal/linker/assembly.go
+++ b/internal/linker/assembly.go
@@ -23,12 +23,12 @@
 	inboundCall struct {
 		*exchanger.Call
 
-		body bodyAssembly
+		body bodyReservation
 	}
 
-	// bodyAssembly reserves the memory of a body whose parts arrive in several frames. The
+	// bodyReservation reserves the memory of a body whose parts arrive in several frames. The
 	// parts are kept as they arrive, so nothing is copied.
-	bodyAssembly struct {
+	bodyReservation struct {
 		holder accountant.Holder
 		// receivedBytes is the size of the parts, reservedBytes what is reserved for all
 		// parts. A node that announces no size gets them reserved one by one.
@@ -37,7 +37,7 @@
 )
 
 // begin reserves memory for a body of which the first part has arrived, and for the head.
-func (b *bodyAssembly) begin(a *accountant.Account, now time.Time, announcedBytes, firstBytes, headBytes int64) (reserved bool) {
+func (b *bodyReservation) begin(a *accountant.Account, now time.Time, announcedBytes, firstBytes, headBytes int64) (reserved bool) {
 	a.Register(&b.holder, nil)
 	if announcedBytes < 0 || announcedBytes > maxAnnouncedBytes {
 		announcedBytes = 0
@@ -51,7 +51,7 @@
 }
 
 // add accounts for a further part that has arrived.
-func (b *bodyAssembly) add(now time.Time, partBytes int64) (reserved bool) {
+func (b *bodyReservation) add(now time.Time, partBytes int64) (reserved bool) {
 	b.receivedBytes += partBytes
 	missingBytes := b.receivedBytes - b.reservedBytes
 	if missingBytes <= 0 {
@@ -65,7 +65,7 @@
 }
 
 // release gives back all memory.
-func (b *bodyAssembly) release() {
+func (b *bodyReservation) release() {
 	b.holder.Release(b.holder.HeldBytes())
 }
 
@@ -145,15 +145,18 @@
 	}
 }
 
-// sendReply queues a reply, whose memory stays reserved until it is sent.
+// sendReply queues a reply, whose memory stays reserved until it is sent. It takes the place of
+// the memory of the call.
 func (r *inboundSession) sendReply(number uint64, c *inboundCall, reply *exchanger.Reply) {
 	l := r.server.linker
-	c.body.release()
 	size := reply.BodyBytes()
 	load := fromLoad(l.handlers.Load())
-	if c.body.holder.Reserve(l.clock.Now(), size) != accountant.Granted {
+	if change := size - c.body.holder.HeldBytes(); change <= 0 {
+		c.body.holder.Release(-change)
+	} else if !accountant.ReserveWithRetry(l.clock.Now, c.body.holder.ReserveAnswer, change) {
+		c.body.release()
 		l.RefusedForMemory.Add(1)
-		refusal := exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the memory of node %s is short for the answer", l.self.Name)
+		refusal := exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonMemory, "the memory of node %s is short for the answer", l.self.Name)
 		r.session.enqueue(&framer.Frame{Number: number, Refusal: fromRefusal(refusal), Load: load})
 		return
 	}
