Decide rollouts from the outcomes of both versions

The target version gets a small share until 0.62 of the duration, then two steps that together fit into the exposure, then all calls. It is compared with the old version route by route and in the same tenth of a second, so that a service that degrades as a whole is not rolled back. Runs on cold servers count only by their failures.

--- /dev/null
+++ b/internal/promoter/promoter.go
@@ -0,0 +1,390 @@
+// Package promoter decides how fast the calls of a service move to backend servers of a new
+// version, and whether that version is good (canary analysis). It reads no clock and does no
+// input or output: times are arguments.
+package promoter
+
+import (
+	"math"
+	"time"
+)
+
+// States of a rollout.
+const (
+	// StateRunning means that the old and the target version share the calls.
+	StateRunning State = "running"
+	// StateCompleted means that the target version has all calls.
+	StateCompleted State = "completed"
+	// StateRolledBack means that the old version has all calls.
+	StateRolledBack State = "rolled_back"
+)
+
+const (
+	// canaryEndFraction is the fraction of the duration after which the share grows. The
+	// target version is observed at a small share until then, so that a version that turns
+	// bad only after some seconds does so while its share is small.
+	canaryEndFraction = 0.62
+	// minCanaryFraction is the fraction of the duration for which warm servers of the target
+	// version are observed at a small share, unless latestGrowthFraction of it is reached.
+	minCanaryFraction    = 0.3
+	latestGrowthFraction = 0.8
+	// latestPromotionFraction is the fraction of the duration from which on a step of growth
+	// lasts only for its least time.
+	latestPromotionFraction = 0.8
+	// canaryBudgetFraction is the part of the budget that is used until the share grows. The
+	// rest is for the growth, where a version that is bad only under load shows it.
+	canaryBudgetFraction = 0.35
+	// budgetFraction is the part of the allowed exposure that is used. The rest covers
+	// requests that nodes count differently from whoever checks the exposure.
+	budgetFraction = 0.9
+	// forecastFraction is the part of the requests expected until the deadline that counts
+	// for the budget, as the request rate may fall.
+	forecastFraction = 0.6
+	// minRateTime is how long the requests of the service are counted before their rate is
+	// used.
+	minRateTime = 300 * time.Millisecond
+	// minCanaryShare and maxCanaryShare bound the share until it grows.
+	minCanaryShare = 0.005
+	maxCanaryShare = 0.2
+	// minEvidence is the number of runs on warm servers that must have ended before the
+	// share grows.
+	minEvidence = 8
+	// freshTime is how long a report counts as current. goneTime is how long after its last
+	// report a node counts as stopped, so that a crashed node does not block the rollout.
+	freshTime = 500 * time.Millisecond
+	goneTime  = 1500 * time.Millisecond
+	// idleTime is how long the old servers must have been idle. It covers calls that are on
+	// their way from nodes whose decision is out of date.
+	idleTime = 500 * time.Millisecond
+	// maxPendingFactor is the number of pending runs, relative to the number expected from
+	// the old version's run times, above which the share does not grow: runs of a slow
+	// version have not ended yet. minPending is the number that is never too high.
+	maxPendingFactor = 2.0
+	minPending       = 4.0
+)
+
+// growthSteps are the shares after the canary phase, with the least time for each and the
+// fraction of the budget that is used before the next one. The least times together use less
+// than half of a second's requests, which fits into 0.1 of 10 s. At low request rates the
+// budget lasts for longer, which gives more outcomes.
+var growthSteps = []struct {
+	share          float64
+	time           time.Duration
+	budgetFraction float64
+}{
+	{0.3, 300 * time.Millisecond, 0.55},
+	{0.8, 400 * time.Millisecond, 0.95},
+	// The outcomes of the runs that have begun are awaited before the bound is lifted.
+	{0, 300 * time.Millisecond, 0},
+}
+
+type (
+	// Order orders that the calls of a service move to backend servers of a version.
+	Order struct {
+		// Service is the service and TargetVersion the version.
+		Service, TargetVersion string
+		// Duration is the time from the order to its deadline.
+		Duration time.Duration
+	}
+
+	// Bounds bounds the requests that a bad version gets.
+	Bounds struct {
+		// ExposureShare is the allowed fraction of all requests of the service between
+		// the order and its deadline, and ExposureRequests a number of requests beyond it.
+		ExposureShare, ExposureRequests float64
+		// RollbackTime is the time within which a bad version must get no requests any
+		// more.
+		RollbackTime time.Duration
+	}
+
+	// RouteOutcomes counts the ended runs of one route since the order.
+	RouteOutcomes struct {
+		// Requests is the number of runs and Failures the number of those that failed.
+		Requests, Failures uint64
+		// TotalTime is the sum of their durations.
+		TotalTime time.Duration
+	}
+
+	// NodeReport holds the outcomes of the runs on one node's backend server since the order.
+	NodeReport struct {
+		// Node, Incarnation and Version identify the node and its server's version.
+		Node, Incarnation, Version string
+		// Started is the number of started runs.
+		Started uint64
+		// Routes holds the outcomes by route, without the runs of a cold server.
+		Routes map[string]RouteOutcomes
+		// Cold holds the outcomes of the runs that started while the server was cold.
+		Cold RouteOutcomes
+		// Busy reports whether calls run or wait at the server.
+		Busy bool
+	}
+
+	// Decision is the outcome of Decide.
+	Decision struct {
+		// State is StateCompleted as soon as the rollout may be recorded as completed.
+		State State
+		// Share is the fraction of the service's calls for the target version.
+		Share float64
+		// MaxRequests is the number of runs that the target version may have had since
+		// the order, over all nodes together; math.MaxUint64 stands for no limit.
+		MaxRequests uint64
+	}
+
+	// State is the state of a rollout.
+	State string
+
+	// Promoter decides on one order. Create it with New. It is not safe for concurrent use.
+	Promoter struct {
+		order     Order
+		bounds    Bounds
+		orderedAt time.Time
+		nodes     map[nodeKey]*nodeState
+		evidence  evidence
+		// firstOutcomeAt is when the first run on a warm server of the target version had
+		// ended.
+		firstOutcomeAt time.Time
+		// step is the number of growth steps begun, stepAt when the last one began.
+		step   int
+		stepAt time.Time
+		// promoted reports whether all calls may go to the target version.
+		promoted   bool
+		rolledBack bool
+		reason     string
+	}
+
+	nodeKey struct {
+		node, incarnation, version string
+	}
+
+	// nodeState is what one node has reported of one version.
+	nodeState struct {
+		report     NodeReport
+		reportedAt time.Time
+		// idleSince is when the server became idle; zero while it is busy.
+		idleSince time.Time
+	}
+)
+
+// New returns a Promoter of an order that was given at orderedAt.
+func New(orderedAt time.Time, o Order, b Bounds) *Promoter {
+	return &Promoter{order: o, bounds: b, orderedAt: orderedAt, nodes: map[nodeKey]*nodeState{}, evidence: newEvidence(o.Duration)}
+}
+
+// Reason returns why the rollout was rolled back; empty if it was not.
+func (p *Promoter) Reason() string {
+	return p.reason
+}
+
+// MoveOrder moves the time of the order to an earlier one.
+func (p *Promoter) MoveOrder(orderedAt time.Time) {
+	if orderedAt.Before(p.orderedAt) {
+		p.orderedAt = orderedAt
+	}
+}
+
+// Exposure returns the number of runs of the target version and of all versions.
+func (p *Promoter) Exposure() (target, all uint64) {
+	for key, n := range p.nodes {
+		all += n.report.Started
+		if key.version == p.order.TargetVersion {
+			target += n.report.Started
+		}
+	}
+	return target, all
+}
+
+// Report records a report of a node. Its numbers are cumulative.
+func (p *Promoter) Report(now time.Time, r NodeReport) {
+	key := nodeKey{r.Node, r.Incarnation, r.Version}
+	n := p.nodes[key]
+	if n == nil {
+		n = &nodeState{}
+		p.nodes[key] = n
+	}
+	if r.Started < n.report.Started {
+		// The report is older than the known one.
+		return
+	}
+	target := r.Version == p.order.TargetVersion
+	at := p.evidence.at(now.Sub(p.orderedAt))
+	for route, total := range r.Routes {
+		delta := difference(total, n.report.Routes[route])
+		at.add(target, route, delta)
+		if target && delta.Requests > 0 && p.firstOutcomeAt.IsZero() {
+			p.firstOutcomeAt = now
+		}
+	}
+	if target {
+		at.addCold(difference(r.Cold, n.report.Cold))
+	}
+	switch {
+	case r.Busy || r.Started != n.report.Started:
+		n.idleSince = time.Time{}
+	case n.idleSince.IsZero():
+		n.idleSince = now
+	}
+	n.report, n.reportedAt = r, now
+}
+
+// Decide returns the decision for the next moment.
+func (p *Promoter) Decide(now time.Time) Decision {
+	elapsed := now.Sub(p.orderedAt)
+	if !p.rolledBack {
+		if reason := p.evidence.verdict(elapsed); reason != "" {
+			p.rolledBack, p.reason = true, reason
+		} else if elapsed >= p.order.Duration {
+			p.rolledBack, p.reason = true, "the deadline has passed"
+		}
+	}
+	if p.rolledBack {
+		return Decision{State: StateRolledBack}
+	}
+	budget := p.budget(elapsed)
+	if !p.promoted && !p.hasTarget(now) {
+		return Decision{State: StateRunning, MaxRequests: whole(canaryBudgetFraction * budget)}
+	}
+	p.grow(now, elapsed)
+	switch {
+	case p.promoted:
+		d := Decision{State: StateRunning, Share: 1, MaxRequests: math.MaxUint64}
+		if now.Sub(p.stepAt) >= idleTime && p.hasTarget(now) && p.oldServersIdle(now) {
+			d.State = StateCompleted
+		}
+		return d
+	case p.step > 0:
+		return Decision{State: StateRunning, Share: growthSteps[p.step-1].share, MaxRequests: whole(budget)}
+	default:
+		limit := canaryBudgetFraction * budget
+		return Decision{State: StateRunning, Share: p.canaryShare(elapsed, limit), MaxRequests: whole(limit)}
+	}
+}
+
+// budget returns the number of runs that a bad version may have had at its deadline.
+func (p *Promoter) budget(elapsed time.Duration) float64 {
+	_, all := p.Exposure()
+	total := float64(all) + forecastFraction*p.rate(elapsed)*max(0, (p.order.Duration-elapsed).Seconds())
+	return budgetFraction * (p.bounds.ExposureShare*total + p.bounds.ExposureRequests)
+}
+
+// rate returns the requests of the service per second since the order.
+func (p *Promoter) rate(elapsed time.Duration) float64 {
+	if elapsed < minRateTime {
+		return 0
+	}
+	_, all := p.Exposure()
+	return float64(all) / elapsed.Seconds()
+}
+
+// canaryShare returns the share that uses up limit by the end of the canary phase.
+func (p *Promoter) canaryShare(elapsed time.Duration, limit float64) float64 {
+	target, _ := p.Exposure()
+	rate := p.rate(elapsed)
+	left := time.Duration(canaryEndFraction*float64(p.order.Duration)) - elapsed
+	if rate == 0 || left <= 0 {
+		return minCanaryShare
+	}
+	return min(maxCanaryShare, max(minCanaryShare, (limit-float64(target))/(rate*left.Seconds())))
+}
+
+// grow begins the next step of growth if it is due.
+func (p *Promoter) grow(now time.Time, elapsed time.Duration) {
+	switch {
+	case p.promoted:
+		return
+	case p.step == 0 && !p.canaryDone(elapsed):
+		return
+	case p.step > 0 && !p.stepDone(now, elapsed):
+		return
+	case p.tooManyPending(now):
+		return
+	}
+	p.stepAt = now
+	if p.step == len(growthSteps) {
+		p.promoted = true
+		return
+	}
+	p.step++
+}
+
+// stepDone reports whether the current step of growth has lasted for long enough.
+func (p *Promoter) stepDone(now time.Time, elapsed time.Duration) bool {
+	step := growthSteps[p.step-1]
+	if now.Sub(p.stepAt) < step.time {
+		return false
+	}
+	target, _ := p.Exposure()
+	return float64(target) >= step.budgetFraction*p.budget(elapsed) || elapsed >= time.Duration(latestPromotionFraction*float64(p.order.Duration))
+}
+
+// canaryDone reports whether the target version was observed at a small share for long
+// enough.
+func (p *Promoter) canaryDone(elapsed time.Duration) bool {
+	duration := float64(p.order.Duration)
+	switch {
+	case elapsed < time.Duration(canaryEndFraction*duration):
+		return false
+	case elapsed >= time.Duration(latestGrowthFraction*duration):
+		return true
+	case p.firstOutcomeAt.IsZero():
+		return p.rate(elapsed)*elapsed.Seconds()*minCanaryShare < 1
+	}
+	_, all := p.Exposure()
+	observed := elapsed - p.firstOutcomeAt.Sub(p.orderedAt)
+	wanted := min(minEvidence, minCanaryShare*float64(all))
+	return observed >= time.Duration(minCanaryFraction*duration) && float64(p.evidence.targetRuns) >= wanted
+}
+
+// tooManyPending reports whether more runs of the target version are pending than the run
+// times of the old version explain.
+func (p *Promoter) tooManyPending(now time.Time) bool {
+	started, ended := uint64(0), uint64(0)
+	for key, n := range p.nodes {
+		if key.version != p.order.TargetVersion || now.Sub(n.reportedAt) > freshTime {
+			continue
+		}
+		started += n.report.Started
+		ended += n.report.Cold.Requests
+		for _, o := range n.report.Routes {
+			ended += o.Requests
+		}
+	}
+	if started <= ended {
+		return false
+	}
+	expected := p.rate(now.Sub(p.orderedAt)) * p.evidence.oldMeanTime().Seconds()
+	return float64(started-ended) > minPending+maxPendingFactor*expected
+}
+
+// hasTarget reports whether a node of the target version reports.
+func (p *Promoter) hasTarget(now time.Time) bool {
+	for key, n := range p.nodes {
+		if key.version == p.order.TargetVersion && now.Sub(n.reportedAt) <= freshTime {
+			return true
+		}
+	}
+	return false
+}
+
+// oldServersIdle reports whether every server of another version has been idle for idleTime.
+func (p *Promoter) oldServersIdle(now time.Time) bool {
+	for key, n := range p.nodes {
+		age := now.Sub(n.reportedAt)
+		if key.version == p.order.TargetVersion || age > goneTime {
+			continue
+		}
+		if age > freshTime || n.idleSince.IsZero() || now.Sub(n.idleSince) < idleTime {
+			return false
+		}
+	}
+	return true
+}
+
+func difference(total, before RouteOutcomes) RouteOutcomes {
+	if total.Requests < before.Requests || total.Failures < before.Failures || total.TotalTime < before.TotalTime {
+		return total
+	}
+	return RouteOutcomes{total.Requests - before.Requests, total.Failures - before.Failures, total.TotalTime - before.TotalTime}
+}
+
+func whole(requests float64) uint64 {
+	return uint64(max(0, requests))
+}
