Run rollouts end to end: thin path works

The operator's order reaches the nodes with the state. A node beside a server of the target version runs calls only with a valid decision and within its part of the exposure. Callers choose the version by the decided share.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -26,7 +26,9 @@
 	"github.com/flamingotack/flamingotack/internal/listener"
 	"github.com/flamingotack/flamingotack/internal/logger"
 	"github.com/flamingotack/flamingotack/internal/meter"
+	"github.com/flamingotack/flamingotack/internal/promoter"
 	"github.com/flamingotack/flamingotack/internal/publisher"
+	"github.com/flamingotack/flamingotack/internal/releaser"
 	"github.com/flamingotack/flamingotack/internal/suspecter"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
@@ -58,6 +60,7 @@
 		Leave(ctx context.Context, self linker.Member) error
 		// SaveLearnedState stores the learned state for nodes that join later.
 		SaveLearnedState(ctx context.Context, state forwarder.LearnedState) error
+		releaser.Store
 	}
 
 	// JoinResult is what a directory returns to a node that joins.
@@ -91,6 +94,7 @@
 		guardian      *guardian.Guardian
 		linker        *linker.Linker
 		rateLimiter   *admitter.DistributedRateLimiter
+		releaser      *releaser.Releaser
 
 		table          publisher.Value[director.Table]
 		mu             sync.Mutex
@@ -138,6 +142,8 @@
 		// RateTolerance is how far customers may exceed their rates, and nodes
 		// the retries that RetryRatio allows.
 		RateTolerance admitter.RateTolerance
+		// RolloutBounds bounds the requests that a bad version of a backend server gets.
+		RolloutBounds promoter.Bounds
 	}
 )
 
@@ -212,6 +218,7 @@
 	}
 	addActor(n.guardian.Run)
 	addActor(n.linker.Run)
+	addActor(n.releaser.Run)
 	addActor(func(c context.Context) error { return n.settings.Directory.Watch(c, watchers{n.linker}, n.applyState) })
 	addActor(n.joinDirectory)
 	addActor(n.broadcastChanges)
@@ -264,6 +271,19 @@
 		ReceiveState:     n.applyState,
 		IsolatedSuspects: n.guardian.IsolatedSuspects,
 		ReceiveSuspects:  n.guardian.MergeSuspects,
+		ReceiveReports:   func(from string, reports []releaser.Report) { n.releaser.HandleReports(from, reports) },
+		ReceiveDecisions: func(from string, decisions []releaser.Decision) { n.releaser.HandleDecisions(from, decisions) },
+	})
+	n.releaser = releaser.New(releaser.Settings{
+		Bounds:      s.RolloutBounds,
+		Clock:       clock,
+		Links:       n.linker,
+		Logger:      s.Logger.Named("releaser"),
+		Node:        n.self.Name,
+		Incarnation: n.self.Incarnation,
+		Service:     s.Service,
+		Server:      n.guardian,
+		Store:       s.Directory,
 	})
 	n.forwarder = forwarder.New(forwarder.Settings{
 		Clock:              clock,
@@ -272,6 +292,7 @@
 		LocalHandler:       n.guardian,
 		Logger:             s.Logger.Named("forwarder"),
 		RetryRatio:         s.RetryRatio,
+		RolloutPlan:        n.releaser.Plan,
 		SpendSharedRetries: func(ctx context.Context, cost map[string]float64) bool { return n.rateLimiter.ChargeRetry(ctx, cost) },
 		Self:               n.self,
 		Table:              n.table.Load,
@@ -358,6 +379,7 @@
 	if current.HasConfig() && (s.Config == nil || s.Config.Version < current.State.Config.Version) {
 		s.Config = current.State.Config
 	}
+	n.releaser.Apply(s.Rollouts)
 	n.table.Publish(director.NewTable(s))
 	n.settings.Logger.Infof("revision %d put in force: configuration version %d, failure domains out of service %v", s.Revision, s.Version(), s.EvacuatedDomains)
 	n.guardian.ReloadConfig()
--- a/internal/director/table.go
+++ b/internal/director/table.go
@@ -16,6 +16,8 @@
 		Config *Config `json:"config,omitempty"`
 		// EvacuatedDomains are the failure domains that get no requests.
 		EvacuatedDomains []string `json:"evacuated,omitempty"`
+		// Rollouts are the orders of rollouts, at most one for each service.
+		Rollouts []Rollout `json:"rollouts,omitempty"`
 	}
 
 	// Table indexes a State for lookups. It is immutable.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"github.com/flamingotack/flamingotack/internal/linker"
 	"github.com/flamingotack/flamingotack/internal/logger"
 	"github.com/flamingotack/flamingotack/internal/regulator"
+	"github.com/flamingotack/flamingotack/internal/releaser"
 	"github.com/flamingotack/flamingotack/internal/retrier"
 	"github.com/flamingotack/flamingotack/internal/router"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
@@ -122,6 +123,9 @@
 		// by service, from the budget that all nodes share. It reports
 		// whether that budget allows it.
 		SpendSharedRetries func(ctx context.Context, cost map[string]float64) (allowed bool)
+		// RolloutPlan returns which versions of a service calls may go to; nil if there
+		// is no rollout. It may be nil itself.
+		RolloutPlan func(service string) *releaser.Plan
 		// Self is the local node.
 		Self linker.Member
 		// Table returns the configuration in force.
@@ -199,6 +203,10 @@
 	if c.Service == f.Self.Service {
 		f.updateLoadLocked(f.Self, local)
 	}
+	if plan := f.rolloutPlan(c.Service); plan != nil {
+		picked, verdict := f.pickVersion(now, plan, c, tried)
+		return f.members[picked.Name], verdict == router.VerdictPicked
+	}
 	picked, verdict := f.router.Pick(now, f.random, f.candidates[c.Service], c.Priority, tried)
 	return f.members[picked.Name], verdict == router.VerdictPicked
 }
--- a/internal/guardian/availability.go
+++ b/internal/guardian/availability.go
@@ -92,6 +92,11 @@
 	case g.server.Phase == PhaseUnknown:
 		return closedFor(exchanger.ReasonUnreachable, "the backend server has not announced itself or does not answer")
 	}
+	if ledger := g.rollout.Load(); ledger != nil {
+		if reason, detail := ledger.closedReason(g.Clock.Now(), g.server.LastHeartbeat.Version); reason != "" {
+			return closedFor(reason, detail)
+		}
+	}
 	return stateOpen, nil
 }
 
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -41,6 +41,10 @@
 		// state is stateOpen, or the reason for which the server is closed.
 		state        string
 		lastSequence uint64
+
+		// rollout limits and counts the runs while a rollout of the service is known; nil
+		// otherwise.
+		rollout atomic.Pointer[rolloutLedger]
 	}
 
 	// LoadReport describes the load and the availability of a node's backend
@@ -66,6 +70,8 @@
 		Closed bool
 		// MeanServiceTime is the mean duration of a run.
 		MeanServiceTime time.Duration
+		// Version is the version of the server while a rollout of its service is known.
+		Version string
 	}
 
 	// Settings holds the dependencies of a Guardian.
@@ -123,9 +129,15 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	rolloutRun, refusal := g.startRolloutRun()
+	if refusal != nil {
+		permit.cancel()
+		return nil, refusal
+	}
 	suspectID, refusal := g.suspects.start(c)
 	if refusal != nil {
 		permit.cancel()
+		rolloutRun.cancel()
 		return nil, refusal
 	}
 	run := g.Runs.StartRun(g.Clock.Now(), c)
@@ -134,6 +146,7 @@
 	summary := g.Runs.EndRun(g.Clock.Now(), run)
 	summary.Completed = refusal == nil && reply.Status < http.StatusInternalServerError
 	g.OnRunEnd(summary)
+	rolloutRun.end(&summary, reply, refusal)
 	if permit.release(summary.Completed, g.runOutcome(&summary, reply, refusal)) {
 		g.reportFailingChange()
 	}
@@ -180,6 +193,9 @@
 	defer g.mu.Unlock()
 	g.lastSequence++
 	report := LoadReport{Sequence: g.lastSequence, Closed: g.state != stateOpen}
+	if g.rollout.Load() != nil {
+		report.Version = g.server.LastHeartbeat.Version
+	}
 	g.queue.fillReport(&report)
 	return report
 }
--- a/internal/guardian/serverstate.go
+++ b/internal/guardian/serverstate.go
@@ -38,6 +38,8 @@
 		Sequence int64
 		// Slots is the number of requests that the server runs concurrently.
 		Slots int
+		// Version is the version of the server's software.
+		Version string
 		// Draining reports whether the server is about to leave.
 		Draining bool
 		// WarmupRemaining is how long the server stays cold.
--- a/internal/linker/choice.go
+++ b/internal/linker/choice.go
@@ -22,8 +22,13 @@
 	for _, k := range l.links {
 		k.wanted = false
 	}
-	for _, names := range l.linkOrders {
-		l.markWantedLinks(now, names)
+	state := l.handlers.State()
+	for service, names := range l.linkOrders {
+		target, most := selector.TargetLinksPerService, selector.MaxLinksPerService
+		if state.HasRollout(service) {
+			target, most = rolloutLinksPerService, rolloutLinksPerService
+		}
+		l.markWantedLinks(now, names, target, most)
 	}
 	l.markWantedDelegateLinks(now)
 	for _, k := range l.links {
@@ -48,13 +53,13 @@
 	l.delegates = ring.Delegates()
 }
 
-// markWantedLinks marks the links to the first usable members of a service as wanted and
-// lets calls be sent over them. names is the link order of the service. The caller holds
-// the lock.
-func (l *Linker) markWantedLinks(now time.Time, names []string) {
+// markWantedLinks marks the links to the first target usable members of a service, among the
+// first most ones, as wanted and lets calls be sent over them. names is the link order of the
+// service. The caller holds the lock.
+func (l *Linker) markWantedLinks(now time.Time, names []string, target, most int) {
 	usable := 0
-	for _, name := range names[:min(selector.MaxLinksPerService, len(names))] {
-		if usable >= selector.TargetLinksPerService {
+	for _, name := range names[:min(most, len(names))] {
+		if usable >= target {
 			return
 		}
 		k := l.links[name]
--- a/internal/linker/convert.go
+++ b/internal/linker/convert.go
@@ -108,6 +108,7 @@
 		Failing:       l.Failing,
 		WarmupMicros:  l.WarmupRemaining.Microseconds(),
 		BearsWarm:     float32(l.WarmSlots),
+		Version:       l.Version,
 	}
 }
 
@@ -194,6 +195,7 @@
 		Failing:         m.GetFailing(),
 		WarmupRemaining: validator.Micros(m.GetWarmupMicros()),
 		WarmSlots:       float64(m.GetBearsWarm()),
+		Version:         m.GetVersion(),
 	}, nil
 }
 
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -19,6 +19,7 @@
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/guardian"
 	"github.com/flamingotack/flamingotack/internal/logger"
+	"github.com/flamingotack/flamingotack/internal/releaser"
 	"github.com/flamingotack/flamingotack/internal/selector"
 	"github.com/flamingotack/flamingotack/internal/suspecter"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
@@ -90,6 +91,10 @@
 		ReceiveLoad func(Member, guardian.LoadReport)
 		// ReceiveState receives a configuration from another node.
 		ReceiveState func(director.State)
+		// ReceiveReports and ReceiveDecisions receive the reports and decisions on
+		// rollouts that the node from has sent.
+		ReceiveReports   func(from string, reports []releaser.Report)
+		ReceiveDecisions func(from string, decisions []releaser.Decision)
 		// ReceiveSuspects receives suspects from another node and returns those that
 		// were news.
 		ReceiveSuspects func([]suspecter.Suspect) (news []suspecter.Suspect)
--- a/internal/linker/news.go
+++ b/internal/linker/news.go
@@ -151,6 +151,9 @@
 	if len(f.GetSuspects()) > 0 {
 		l.handleSuspects(m, f.GetSuspects())
 	}
+	if len(f.GetRolloutReports()) > 0 || len(f.GetRolloutDecisions()) > 0 {
+		l.handleRollouts(m, f)
+	}
 }
 
 // handleNews handles news of another node and its members. direct reports whether that node
@@ -242,6 +245,12 @@
 			return
 		}
 	}
+	for i := range state.Rollouts {
+		if err := state.Rollouts[i].Validate(); err != nil {
+			l.logger.Warnf("state from node %s discarded: %v", m.Name, err)
+			return
+		}
+	}
 	l.handlers.ReceiveState(state)
 }
 
--- a/internal/promoter/evidence.go
+++ b/internal/promoter/evidence.go
@@ -120,8 +120,13 @@
 	b.cold = sum(b.cold, o)
 }
 
+// Add returns the sum of two outcomes.
+func (r RouteOutcomes) Add(o RouteOutcomes) RouteOutcomes {
+	return RouteOutcomes{r.Requests + o.Requests, r.Failures + o.Failures, r.TotalTime + o.TotalTime}
+}
+
 func sum(a, b RouteOutcomes) RouteOutcomes {
-	return RouteOutcomes{a.Requests + b.Requests, a.Failures + b.Failures, a.TotalTime + b.TotalTime}
+	return a.Add(b)
 }
 
 // oldMeanTime returns the mean duration of a run of the old version.
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -149,6 +149,8 @@
 		promoted   bool
 		rolledBack bool
 		reason     string
+		// noDeadline reports whether the deadline does not count any more.
+		noDeadline bool
 	}
 
 	nodeKey struct {
@@ -174,6 +176,11 @@
 	return p.reason
 }
 
+// IgnoreDeadline keeps the rollout from being rolled back at its deadline.
+func (p *Promoter) IgnoreDeadline() {
+	p.noDeadline = true
+}
+
 // MoveOrder moves the time of the order to an earlier one.
 func (p *Promoter) MoveOrder(orderedAt time.Time) {
 	if orderedAt.Before(p.orderedAt) {
@@ -231,7 +238,7 @@
 	if !p.rolledBack {
 		if reason := p.evidence.verdict(elapsed); reason != "" {
 			p.rolledBack, p.reason = true, reason
-		} else if elapsed >= p.order.Duration {
+		} else if elapsed >= p.order.Duration && !p.noDeadline {
 			p.rolledBack, p.reason = true, "the deadline has passed"
 		}
 	}
--- /dev/null
+++ b/internal/releaser/decider.go
@@ -0,0 +1,276 @@
+package releaser
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/flamingotack/flamingotack/internal/promoter"
+)
+
+// statusState is what the decider knows about the stored status.
+type statusState struct {
+	// read reports whether the status was read, written the state that was written last.
+	read    bool
+	written promoter.State
+	// pending reports whether a call to the store is under way, attemptedAt when the last
+	// one began.
+	pending     bool
+	attemptedAt time.Time
+}
+
+// report sends the outcomes of the node's own server. The caller holds the lock.
+func (r *Releaser) report(now time.Time, o *rollout) {
+	if o.order.Service != r.Service || o.final != "" {
+		return
+	}
+	var reports []Report
+	for _, outcome := range r.Server.RolloutReports() {
+		outcome.Node, outcome.Incarnation = r.Node, r.Incarnation
+		reports = append(reports, Report{NodeReport: outcome, Service: o.order.Service, Order: o.id(), Age: now.Sub(o.orderedAt)})
+	}
+	for _, report := range reports {
+		o.record(now, report)
+	}
+	if o.firstReportAt.IsZero() {
+		o.firstReportAt = now
+	}
+	acting := ""
+	if d := o.validDecision(now); d != nil {
+		acting = d.Decider
+	}
+	all := acting == "" || now.Sub(o.standbyReportAt) >= standbyInterval
+	if all {
+		o.standbyReportAt = now
+	}
+	relayed := false
+	for _, name := range o.candidates() {
+		if name == r.Node || !all && name != acting {
+			continue
+		}
+		if !r.Links.SendReports(name, reports) && !relayed {
+			r.Links.SendReportsToDelegates(reports)
+			relayed = true
+		}
+	}
+}
+
+// decide decides on a rollout if this node is the decider, and sends the decision. The caller
+// holds the lock.
+func (r *Releaser) decide(ctx context.Context, now time.Time, o *rollout) {
+	if !r.acts(now, o) {
+		o.actingSince = time.Time{}
+		return
+	}
+	paused := now.Sub(o.decidedAt) > LeaseTime
+	o.decidedAt = now
+	if o.actingSince.IsZero() || paused {
+		o.actingSince = now
+		r.Logger.Infof("decider of the rollout of service %s to version %q", o.order.Service, o.order.TargetVersion)
+	}
+	if !o.status.read {
+		r.readStatus(ctx, now, o)
+	}
+	if o.final != "" {
+		r.writeStatus(ctx, now, o, o.final)
+		if now.Sub(o.finalSentAt) >= finalInterval && (!o.withdrawn || now.Sub(o.finalAt) < withdrawalTime) {
+			o.finalSentAt = now
+			r.send(now, o, promoter.Decision{State: o.final, Share: finalShare(o.final)})
+		}
+		return
+	}
+	if !o.status.read || now.Sub(o.actingSince) < collectTime || !r.hasQuorum(now, o) {
+		return
+	}
+	d := o.promoter.Decide(now)
+	switch d.State {
+	case promoter.StateRolledBack:
+		r.conclude(o, d.State, o.promoter.Reason())
+		o.finalSentAt = now
+	case promoter.StateCompleted:
+		// The verdict counts once it is stored, as the old servers stop then.
+		r.writeStatus(ctx, now, o, d.State)
+		d.State = promoter.StateRunning
+	}
+	if o.final == "" && o.status.written == "" {
+		r.writeStatus(ctx, now, o, promoter.StateRunning)
+	}
+	r.send(now, o, d)
+}
+
+// acts reports whether this node is the decider: no candidate with a better rank has sent a
+// decision for some time. The caller holds the lock.
+func (r *Releaser) acts(now time.Time, o *rollout) bool {
+	rank := slices.Index(o.candidates(), r.Node)
+	if rank <= 0 {
+		return rank == 0
+	}
+	lastHeardAt := o.orderedAt
+	for _, name := range o.ranked[:rank] {
+		if d := o.decisions[name]; d != nil && d.receivedAt.After(lastHeardAt) {
+			lastHeardAt = d.receivedAt
+		}
+	}
+	wait := takeoverTime + time.Duration(rank-1)*takeoverStep
+	if o.final != "" {
+		wait += finalInterval
+	}
+	return now.Sub(lastHeardAt) >= wait
+}
+
+// hasQuorum reports whether more than half of the service's nodes report to this node, so that
+// at most one decider acts when the network is partitioned. The caller holds the lock.
+func (r *Releaser) hasQuorum(now time.Time, o *rollout) bool {
+	count := 0
+	for _, at := range o.reportedAt {
+		if now.Sub(at) <= quorumTime {
+			count++
+		}
+	}
+	nodes, known := r.Links.CountNodes(o.order.Service)
+	return known && 2*count > nodes
+}
+
+// send sends a decision to all nodes and takes it itself. The caller holds the lock.
+func (r *Releaser) send(now time.Time, o *rollout, d promoter.Decision) {
+	started := make([]uint64, 0, len(o.started))
+	for _, runs := range o.started {
+		started = append(started, runs)
+	}
+	decision := Decision{
+		Service:       o.order.Service,
+		Order:         o.id(),
+		TargetVersion: o.order.TargetVersion,
+		State:         d.State,
+		Share:         d.Share,
+		MaxRequests:   promoter.Quota(d.MaxRequests, started),
+		Sequence:      uint64(now.UnixNano()),
+		Decider:       r.Node,
+		Left:          LeaseTime,
+	}
+	low, high := min(o.loggedShare, d.Share), max(o.loggedShare, d.Share)
+	if high > loggedShareRatio*low {
+		o.loggedShare = d.Share
+		target, all := o.promoter.Exposure()
+		r.Logger.Infof("rollout of service %s to version %q: %s at share %.3f, %d of %d runs on that version", o.order.Service, o.order.TargetVersion, d.State, d.Share, target, all)
+	}
+	r.take(now, o, decision)
+	r.Links.BroadcastDecisions([]Decision{decision}, "")
+}
+
+// readStatus reads the stored status in the background. A verdict on the order that another
+// decider has stored is adopted. The caller holds the lock.
+func (r *Releaser) readStatus(ctx context.Context, now time.Time, o *rollout) {
+	r.callStore(ctx, now, o, func(ctx context.Context) error {
+		state, err := r.storedState(ctx, o)
+		if err != nil {
+			return err
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		o.status.read = true
+		r.adopt(o, state)
+		return nil
+	})
+}
+
+// adopt takes over a state that is stored for the order. The caller holds the lock.
+func (r *Releaser) adopt(o *rollout, state promoter.State) {
+	o.status.written = state
+	if !isFinal(state) {
+		return
+	}
+	if o.final != "" && o.final != state {
+		r.Logger.Errorf("rollout of service %s to version %q was %s, but %s is stored", o.order.Service, o.order.TargetVersion, o.final, state)
+	}
+	r.conclude(o, state, "as stored")
+}
+
+// writeStatus stores the state of a rollout in the background, once. It reads the stored one
+// before. The caller holds the lock.
+func (r *Releaser) writeStatus(ctx context.Context, now time.Time, o *rollout, state promoter.State) {
+	if o.status.written == state || isFinal(o.status.written) {
+		return
+	}
+	r.callStore(ctx, now, o, func(ctx context.Context) error {
+		stored, err := r.storedState(ctx, o)
+		if err != nil {
+			return err
+		}
+		if stored == "" || stored == promoter.StateRunning && state != stored {
+			if !r.mayStore(o, state) {
+				return nil
+			}
+			if err := r.Store.SaveRolloutStatus(ctx, o.order.Service, state, o.order.TargetVersion); err != nil {
+				return err
+			}
+			r.Logger.Infof("status %s of the rollout of service %s to version %q stored", state, o.order.Service, o.order.TargetVersion)
+			stored = state
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		o.formerVerdict = ""
+		r.adopt(o, stored)
+		return nil
+	})
+}
+
+// mayStore reports whether a state may be stored: no other verdict and no later order has come
+// since the write was begun. A write of StateCompleted may take effect even if it fails, so the
+// deadline does not count any more.
+func (r *Releaser) mayStore(o *rollout, state promoter.State) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o.final != "" && o.final != state || r.rollouts[o.order.Service] != o {
+		return false
+	}
+	if state == promoter.StateCompleted {
+		o.promoter.IgnoreDeadline()
+	}
+	return true
+}
+
+// storedState returns the stored state of the order; empty if the store holds that of another
+// order.
+func (r *Releaser) storedState(ctx context.Context, o *rollout) (promoter.State, error) {
+	state, target, err := r.Store.RolloutStatus(ctx, o.order.Service)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil || target != o.order.TargetVersion || state == o.formerVerdict {
+		return "", err
+	}
+	return state, nil
+}
+
+// callStore runs a call to the store in the background unless one is under way or the last one
+// failed a short time ago. The caller holds the lock.
+func (r *Releaser) callStore(ctx context.Context, now time.Time, o *rollout, call func(context.Context) error) {
+	if o.status.pending || !o.status.attemptedAt.IsZero() && now.Sub(o.status.attemptedAt) < statusRetryTime {
+		return
+	}
+	o.status.pending, o.status.attemptedAt = true, now
+	r.statusCalls.Go(func() {
+		callCtx, cancel := context.WithTimeout(ctx, statusTimeout)
+		defer cancel()
+		err := call(callCtx)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		o.status.pending = false
+		if err == nil {
+			o.status.attemptedAt = time.Time{}
+		} else if ctx.Err() == nil {
+			r.Logger.Warnf("status of the rollout of service %s not read or stored: %v", o.order.Service, err)
+		}
+	})
+}
+
+func isFinal(state promoter.State) bool {
+	return state == promoter.StateCompleted || state == promoter.StateRolledBack
+}
+
+func finalShare(state promoter.State) float64 {
+	if state == promoter.StateCompleted {
+		return 1
+	}
+	return 0
+}
--- a/internal/selector/delegates.go
+++ b/internal/selector/delegates.go
@@ -47,6 +47,17 @@
 	return slices.Contains(d.NamesByDomain[domain], name)
 }
 
+// Ranked returns the names of all delegates in the order of their rendezvous hashes with a key.
+func (d Delegates) Ranked(key string) (names []string) {
+	for _, domain := range d.NamesByDomain {
+		names = append(names, domain...)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxh3.HashString(key+" "+a), xxh3.HashString(key+" "+b)), cmp.Compare(a, b))
+	})
+	return names
+}
+
 // ForKey returns the names, by failure domain, of the delegates that act for a key such as
 // the name of a customer: at most perDomain in each failure domain, chosen by rendezvous
 // hashing (Thaler, Ravishankar: "Using Name-Based Mappings to Increase Hit Rates", 1998).
