--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -30,6 +30,9 @@
 		{"flamingotack.config.omitted", "Customers, routes and services that the configuration in force leaves out as invalid.", func() int64 { return int64(n.table.Load().Omitted().Total()) }},
 		{"flamingotack.links.up", "Links to other nodes that stand.", func() int64 { return int64(n.linker.ConnectedPeerCount()) }},
 		{"flamingotack.server.failing", "1 while many runs on the backend server end badly.", n.failingValue},
+		{"flamingotack.rollout.state", "Rollout of the node's service: 0 none, 1 running, 2 completed, 3 rolled back.", n.rolloutState},
+		{"flamingotack.rollout.share", "Calls of the node's service that go to the target version of its rollout, in percent.", n.rolloutShare},
+		{"flamingotack.rollout.exposure", "Calls that ran on the target version since the order, as far as the node knows.", n.rolloutExposure},
 		{"flamingotack.suspects", "Requests that ran when a backend server crashed and have not ended well since.", func() int64 { return int64(n.guardian.SuspectCount()) }},
 		{"flamingotack.delegate", "1 on a node that holds rates and follows the directory for others.", n.delegateValue},
 	} {
--- a/internal/forwarder/rollouts.go
+++ b/internal/forwarder/rollouts.go
@@ -8,6 +8,11 @@
 	"github.com/flamingotack/flamingotack/internal/router"
 )
 
+// minCapacityShare is the share of the calls from which on servers of the target version count
+// as capacity. Below it, mostly cold ones would make the service look larger or colder than it
+// is.
+const minCapacityShare = 0.5
+
 // rolloutPlan returns the plan of a service's rollout, or nil.
 func (f *Forwarder) rolloutPlan(service string) *releaser.Plan {
 	if f.RolloutPlan == nil {
@@ -26,6 +31,9 @@
 	switch {
 	case share >= 1:
 		return f.pickFirst(now, c, tried, target, others)
+	case p.Undecided && len(others) == 0:
+		// The nodes beside the servers of the target version know whether it may run calls.
+		return f.pickFirst(now, c, tried, target)
 	case share <= 0:
 		return f.pickFirst(now, c, tried, others)
 	case len(tried) == 0 && f.random.Float64() < share && f.router.HasRoom(now, target):
@@ -46,6 +54,21 @@
 	return picked, verdict
 }
 
+// countsVersion reports whether a server of a version counts as capacity of its service: those of
+// the target version while they get most calls, the others until they get none. The caller must
+// hold f.mu.
+func (f *Forwarder) countsVersion(now time.Time, service, version string) bool {
+	plan := f.rolloutPlan(service)
+	switch {
+	case plan == nil:
+		return true
+	case version == plan.TargetVersion:
+		return plan.ShareAt(now) >= minCapacityShare || plan.Undecided
+	default:
+		return plan.ShareAt(now) < 1
+	}
+}
+
 // splitByVersion returns the candidates of the target version and those of others, without those
 // of versions that get no calls. A candidate whose version is not known counts among the others;
 // it refuses calls if its server has the target version and no decision allows them. The caller
--- a/internal/forwarder/serviceload.go
+++ b/internal/forwarder/serviceload.go
@@ -74,7 +74,7 @@
 // countsLoad reports whether a node's report counts: it is current, and the node takes calls
 // of this one. The caller must hold f.mu.
 func (f *Forwarder) countsLoad(name string, r loadReport, now time.Time) bool {
-	return f.selected[name] && !r.load.Closed && now.Sub(r.receivedAt) <= loadTTL
+	return f.selected[name] && !r.load.Closed && now.Sub(r.receivedAt) <= loadTTL && f.countsVersion(now, r.service, r.load.Version)
 }
 
 // add adds a report that was received up to now.
--- a/internal/linker/rollouts.go
+++ b/internal/linker/rollouts.go
@@ -73,6 +73,15 @@
 	}
 }
 
+// SendDecision sends a decision on a rollout to a node if there is a session.
+func (l *Linker) SendDecision(name string, d releaser.Decision) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.sessionWith(name); s != nil {
+		s.enqueue(&framer.Frame{RolloutDecisions: []*framer.RolloutDecision{fromDecision(d)}})
+	}
+}
+
 // BroadcastDecisions sends decisions on rollouts over all sessions except those with the named
 // node.
 func (l *Linker) BroadcastDecisions(decisions []releaser.Decision, except string) {
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -199,6 +199,21 @@
 	return target, all
 }
 
+// Follow records that another node has decided on a share. Growth goes on from there, so that a
+// change of the deciding node costs little time.
+func (p *Promoter) Follow(now time.Time, share float64) {
+	step := 0
+	for step < len(growthSteps) && growthSteps[step].share > 0 && share >= growthSteps[step].share {
+		step++
+	}
+	if step > p.step {
+		p.step, p.stepAt = step, now
+	}
+	if share >= 1 && !p.promoted {
+		p.promoted, p.stepAt = true, now
+	}
+}
+
 // Report records a report of a node. Its numbers are cumulative.
 func (p *Promoter) Report(now time.Time, r NodeReport) {
 	key := nodeKey{r.Node, r.Incarnation, r.Version}
--- a/internal/releaser/decider.go
+++ b/internal/releaser/decider.go
@@ -73,20 +73,23 @@
 	}
 	if o.final != "" {
 		r.writeStatus(ctx, now, o, o.final)
-		if now.Sub(o.finalSentAt) >= finalInterval && (!o.withdrawn || now.Sub(o.finalAt) < withdrawalTime) {
+		if now.Sub(o.finalSentAt) >= o.finalInterval(now) && (!o.withdrawn || now.Sub(o.finalAt) < withdrawalTime) {
 			o.finalSentAt = now
 			r.send(now, o, promoter.Decision{State: o.final, Share: finalShare(o.final)})
 		}
 		return
 	}
-	if !o.status.read || now.Sub(o.actingSince) < collectTime || !r.hasQuorum(now, o) {
+	if !r.hasQuorum(now, o) {
+		o.actingSince = now
+	}
+	if !o.status.read || now.Sub(o.actingSince) < collectTime {
 		return
 	}
 	d := o.promoter.Decide(now)
 	switch d.State {
 	case promoter.StateRolledBack:
 		r.conclude(o, d.State, o.promoter.Reason())
-		o.finalSentAt = now
+		o.concludedHere, o.finalSentAt = true, now
 	case promoter.StateCompleted:
 		// The verdict counts once it is stored, as the old servers stop then.
 		r.writeStatus(ctx, now, o, d.State)
@@ -105,6 +108,9 @@
 	if rank <= 0 {
 		return rank == 0
 	}
+	if o.concludedHere && !isFinal(o.status.written) {
+		return true
+	}
 	lastHeardAt := o.orderedAt
 	for _, name := range o.ranked[:rank] {
 		if d := o.decisions[name]; d != nil && d.receivedAt.After(lastHeardAt) {
@@ -113,11 +119,19 @@
 	}
 	wait := takeoverTime + time.Duration(rank-1)*takeoverStep
 	if o.final != "" {
-		wait += finalInterval
+		wait += 2 * o.finalInterval(now)
 	}
 	return now.Sub(lastHeardAt) >= wait
 }
 
+// finalInterval returns how often the verdict is sent again.
+func (o *rollout) finalInterval(now time.Time) time.Duration {
+	if now.Sub(o.finalAt) > finalTime {
+		return lateFinalInterval
+	}
+	return finalInterval
+}
+
 // hasQuorum reports whether more than half of the service's nodes report to this node, so that
 // at most one decider acts when the network is partitioned. The caller holds the lock.
 func (r *Releaser) hasQuorum(now time.Time, o *rollout) bool {
@@ -133,11 +147,24 @@
 
 // send sends a decision to all nodes and takes it itself. The caller holds the lock.
 func (r *Releaser) send(now time.Time, o *rollout, d promoter.Decision) {
+	decision := o.decision(now, r.Node, d)
+	low, high := min(o.loggedShare, d.Share), max(o.loggedShare, d.Share)
+	if high > loggedShareRatio*low {
+		o.loggedShare = d.Share
+		target, all := o.promoter.Exposure()
+		r.Logger.Infof("rollout of service %s to version %q: %s at share %.3f, %d of %d runs on that version", o.order.Service, o.order.TargetVersion, d.State, d.Share, target, all)
+	}
+	r.take(now, o, decision)
+	r.Links.BroadcastDecisions([]Decision{decision}, "")
+}
+
+// decision returns the decision as it is sent to other nodes.
+func (o *rollout) decision(now time.Time, decider string, d promoter.Decision) Decision {
 	started := make([]uint64, 0, len(o.started))
 	for _, runs := range o.started {
 		started = append(started, runs)
 	}
-	decision := Decision{
+	return Decision{
 		Service:       o.order.Service,
 		Order:         o.id(),
 		TargetVersion: o.order.TargetVersion,
@@ -145,17 +172,9 @@
 		Share:         d.Share,
 		MaxRequests:   promoter.Quota(d.MaxRequests, started),
 		Sequence:      uint64(now.UnixNano()),
-		Decider:       r.Node,
+		Decider:       decider,
 		Left:          LeaseTime,
 	}
-	low, high := min(o.loggedShare, d.Share), max(o.loggedShare, d.Share)
-	if high > loggedShareRatio*low {
-		o.loggedShare = d.Share
-		target, all := o.promoter.Exposure()
-		r.Logger.Infof("rollout of service %s to version %q: %s at share %.3f, %d of %d runs on that version", o.order.Service, o.order.TargetVersion, d.State, d.Share, target, all)
-	}
-	r.take(now, o, decision)
-	r.Links.BroadcastDecisions([]Decision{decision}, "")
 }
 
 // readStatus reads the stored status in the background. A verdict on the order that another
--- a/internal/releaser/releaser.go
+++ b/internal/releaser/releaser.go
@@ -23,8 +23,12 @@
 	tickInterval = 100 * time.Millisecond
 	// LeaseTime is how long a decision is valid.
 	LeaseTime = 500 * time.Millisecond
-	// finalInterval is how often the verdict is sent again, for nodes that start later.
-	finalInterval = time.Second
+	// finalInterval is how often the verdict is sent again until finalTime has passed, for
+	// nodes that have missed it, and lateFinalInterval how often afterwards, for nodes that
+	// start later.
+	finalInterval     = time.Second
+	finalTime         = 10 * time.Second
+	lateFinalInterval = 10 * time.Second
 	// withdrawalTime is how long the verdict on an order that was withdrawn is sent.
 	withdrawalTime = 5 * time.Second
 	// standbyInterval is how often a node reports to deciders that do not act.
@@ -65,6 +69,8 @@
 		SendReports(name string, reports []Report) bool
 		// SendReportsToDelegates sends reports to some delegates, which relay them.
 		SendReportsToDelegates(reports []Report)
+		// SendDecision sends a decision to a node to which there is a session.
+		SendDecision(name string, d Decision)
 		// BroadcastDecisions sends decisions to all nodes to which there is a session,
 		// except to the named one.
 		BroadcastDecisions(decisions []Decision, except string)
@@ -220,6 +226,10 @@
 		if o == nil || !o.concerns(report.Order) {
 			continue
 		}
+		if o.final != "" {
+			r.Links.SendDecision(from, o.decision(r.Clock.Now(), r.Node, promoter.Decision{State: o.final, Share: finalShare(o.final)}))
+			continue
+		}
 		o.record(r.Clock.Now(), report)
 		if from == report.Node && r.Links.IsDelegate() {
 			r.relay(o, report)
@@ -271,6 +281,9 @@
 		return false
 	}
 	o.decisions[d.Decider] = &receivedDecision{decision: d, receivedAt: now, validUntil: now.Add(min(LeaseTime, d.Left))}
+	if d.Decider != r.Node {
+		o.promoter.Follow(now, d.Share)
+	}
 	if d.State != promoter.StateRunning {
 		r.conclude(o, d.State, "decided by node "+d.Decider)
 	}
--- a/internal/releaser/rollout.go
+++ b/internal/releaser/rollout.go
@@ -50,6 +50,9 @@
 		// ValidUntil; 0 applies afterwards.
 		Share      float64
 		ValidUntil time.Time
+		// Undecided reports whether no decision on the order is known. The node has
+		// started a short time ago then, and the rollout may have ended long before.
+		Undecided bool
 	}
 
 	// Gate tells which calls may run on the node's backend server. It is immutable.
@@ -107,6 +110,9 @@
 		decidedAt time.Time
 		// finalAt is when the verdict became known, finalSentAt when it was last sent.
 		finalAt, finalSentAt time.Time
+		// concludedHere reports whether this node has decided on the verdict, and so
+		// stores it.
+		concludedHere bool
 		// loggedShare is the share that was logged last.
 		loggedShare float64
 		status      statusState
@@ -149,7 +155,11 @@
 // applyOrder puts an order in force. The caller holds the lock.
 func (r *Releaser) applyOrder(now time.Time, order *director.Rollout) {
 	known := r.rollouts[order.Service]
-	if known != nil && !known.withdrawn && known.order.ContinuedBy(order) {
+	if known != nil && !known.withdrawn && known.continuedBy(order) {
+		if known.order != *order {
+			// The store may have lost the status as well.
+			known.status = statusState{pending: known.status.pending}
+		}
 		known.order = *order
 		return
 	}
@@ -171,6 +181,12 @@
 	r.Logger.Infof("rollout of service %s to version %q ordered at revision %d, to be completed within %s", order.Service, order.TargetVersion, order.Revision, order.Duration)
 }
 
+// continuedBy reports whether an order is the one of the rollout, or orders what it has
+// completed.
+func (o *rollout) continuedBy(order *director.Rollout) bool {
+	return o.order.ContinuedBy(order) || o.final == promoter.StateCompleted && o.order.TargetVersion == order.TargetVersion
+}
+
 // succeed takes over from an earlier order which versions get no calls. A target version that
 // was not completed counts as rolled back.
 func (o *rollout) succeed(former *rollout) {
@@ -266,7 +282,7 @@
 }
 
 func (o *rollout) plan(now time.Time) *Plan {
-	p := &Plan{versionRules: o.rules()}
+	p := &Plan{versionRules: o.rules(), Undecided: o.final == "" && len(o.decisions) == 0}
 	if d := o.validDecision(now); d != nil {
 		p.Share, p.ValidUntil = d.Share, o.decisions[d.Decider].validUntil
 	}
