--- a/internal/linker/rollouts.go
+++ b/internal/linker/rollouts.go
@@ -82,23 +82,34 @@
 	}
 }
 
-// BroadcastDecisions sends decisions on rollouts over all sessions except those with the named
-// node.
-func (l *Linker) BroadcastDecisions(decisions []releaser.Decision, except string) {
+// BroadcastDecisions sends decisions on rollouts to all nodes to which there is a session.
+func (l *Linker) BroadcastDecisions(decisions []releaser.Decision) {
+	l.sendDecisions(decisions, func(Member) bool { return true })
+}
+
+// RelayDecisions sends decisions that the node from has sent to the nodes of this node's failure
+// domain. Each node has links to delegates of its own failure domain or to all delegates, of which
+// the deciding node is one.
+func (l *Linker) RelayDecisions(decisions []releaser.Decision, from string) {
+	l.sendDecisions(decisions, func(m Member) bool { return m.Domain == l.self.Domain && m.Name != from })
+}
+
+// sendDecisions sends decisions to the nodes that match, over one session each.
+func (l *Linker) sendDecisions(decisions []releaser.Decision, match func(Member) bool) {
 	f := &framer.Frame{}
 	for _, d := range decisions {
 		f.RolloutDecisions = append(f.RolloutDecisions, fromDecision(d))
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	sent := map[string]bool{except: true}
+	sent := map[string]bool{}
 	for name, k := range l.links {
-		if s := k.current.Load(); !sent[name] && s != nil {
+		if s := k.current.Load(); s != nil && match(k.member) {
 			sent[name] = s.enqueue(f)
 		}
 	}
 	for r := range l.inbound {
-		if !sent[r.member.Name] {
+		if !sent[r.member.Name] && match(r.member) {
 			sent[r.member.Name] = r.session.enqueue(f)
 		}
 	}
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -22,14 +22,14 @@
 	// canaryEndFraction is the fraction of the duration after which the share grows. The
 	// target version is observed at a small share until then, so that a version that turns
 	// bad only after some seconds does so while its share is small.
-	canaryEndFraction = 0.62
+	canaryEndFraction = 0.6
 	// minCanaryFraction is the fraction of the duration for which warm servers of the target
 	// version are observed at a small share, unless latestGrowthFraction of it is reached.
 	minCanaryFraction    = 0.3
-	latestGrowthFraction = 0.8
+	latestGrowthFraction = 0.75
 	// latestPromotionFraction is the fraction of the duration from which on a step of growth
 	// lasts only for its least time.
-	latestPromotionFraction = 0.8
+	latestPromotionFraction = 0.72
 	// canaryBudgetFraction is the part of the budget that is used until the share grows. The
 	// rest is for the growth, where a version that is bad only under load shows it.
 	canaryBudgetFraction = 0.35
@@ -149,6 +149,12 @@
 		promoted   bool
 		rolledBack bool
 		reason     string
+		// pendingSeconds sums the numbers of pending runs of the old version over time since
+		// observedAt, and observedRuns is the number of its runs started meanwhile. Their
+		// ratio is the mean time that a run is pending (Little's law).
+		pendingSeconds, observedRuns float64
+		observedAt                   time.Time
+		observedStarted              uint64
 		// noDeadline reports whether the deadline does not count any more.
 		noDeadline bool
 	}
@@ -249,6 +255,7 @@
 
 // Decide returns the decision for the next moment.
 func (p *Promoter) Decide(now time.Time) Decision {
+	p.Observe(now)
 	elapsed := now.Sub(p.orderedAt)
 	if !p.rolledBack {
 		if reason := p.evidence.verdict(elapsed); reason != "" {
@@ -358,22 +365,42 @@
 // tooManyPending reports whether more runs of the target version are pending than the run
 // times of the old version explain.
 func (p *Promoter) tooManyPending(now time.Time) bool {
-	started, ended := uint64(0), uint64(0)
+	pending, _ := p.pendingRuns(now, true)
+	meanSeconds := p.evidence.oldMeanTime().Seconds()
+	if p.observedRuns > 0 {
+		// A run is pending for longer than its own time if it makes calls.
+		meanSeconds = max(meanSeconds, p.pendingSeconds/p.observedRuns)
+	}
+	expected := p.rate(now.Sub(p.orderedAt)) * meanSeconds
+	return pending > minPending+maxPendingFactor*expected
+}
+
+// Observe records how many runs are pending. A node calls it also while another one decides, so
+// that it can take over.
+func (p *Promoter) Observe(now time.Time) {
+	pending, started := p.pendingRuns(now, false)
+	if elapsed := now.Sub(p.observedAt); !p.observedAt.IsZero() && elapsed <= freshTime && started >= p.observedStarted {
+		p.pendingSeconds += pending * elapsed.Seconds()
+		p.observedRuns += float64(started - p.observedStarted)
+	}
+	p.observedAt, p.observedStarted = now, started
+}
+
+// pendingRuns returns the numbers of pending and of started runs of the target or of the old
+// version on the nodes that report.
+func (p *Promoter) pendingRuns(now time.Time, target bool) (pending float64, started uint64) {
 	for key, n := range p.nodes {
-		if key.version != p.order.TargetVersion || now.Sub(n.reportedAt) > freshTime {
+		if (key.version == p.order.TargetVersion) != target || now.Sub(n.reportedAt) > freshTime {
 			continue
 		}
-		started += n.report.Started
-		ended += n.report.Cold.Requests
+		ended := n.report.Cold.Requests
 		for _, o := range n.report.Routes {
 			ended += o.Requests
 		}
+		started += n.report.Started
+		pending += max(0, float64(n.report.Started)-float64(ended))
 	}
-	if started <= ended {
-		return false
-	}
-	expected := p.rate(now.Sub(p.orderedAt)) * p.evidence.oldMeanTime().Seconds()
-	return float64(started-ended) > minPending+maxPendingFactor*expected
+	return pending, started
 }
 
 // hasTarget reports whether a node of the target version reports.
--- a/internal/promoter/promoter_test.go
+++ b/internal/promoter/promoter_test.go
@@ -27,6 +27,8 @@
 		targetStart, coldTime time.Duration
 		coldRate              float64
 		old, target           behavior
+		// waiting is the time that each run waits for calls that it makes.
+		waiting time.Duration
 		// service changes the behavior of both versions.
 		service func(at time.Duration) (failureRate, slowdown float64)
 		seed    uint64
@@ -173,7 +175,7 @@
 		}
 		server.running++
 		server.report.Started++
-		heap.Push(&ends, runEnd{now + took, took, server, route, failed, cold})
+		heap.Push(&ends, runEnd{now + took + s.waiting, took, server, route, failed, cold})
 	}
 	return r
 }
@@ -261,3 +263,18 @@
 		}
 	}
 }
+
+// TestRunsThatWaitForCalls guards against a good version of a service whose runs wait for other
+// services that is not completed, as many of its runs are pending.
+func TestRunsThatWaitForCalls(t *testing.T) {
+	for _, waiting := range []time.Duration{200 * time.Millisecond, time.Second} {
+		s := simulation{rate: 400, duration: 12 * time.Second, servers: 6, targetStart: 700 * time.Millisecond, coldTime: 3 * time.Second, coldRate: 5, old: good, target: good, waiting: waiting}
+		if r := s.run(); r.state != StateCompleted {
+			t.Errorf("runs wait for %s: got %q at %s (%s), want %q", waiting, r.state, r.at, r.reason, StateCompleted)
+		}
+		s.target = slow(6, always)
+		if r := s.run(); r.state != StateRolledBack || r.target > testBounds.ExposureShare*r.total+testBounds.ExposureRequests {
+			t.Errorf("runs wait for %s, slow version: got %q and %.0f of %.0f requests on it, want %q within the exposure", waiting, r.state, r.target, r.total, StateRolledBack)
+		}
+	}
+}
--- a/internal/releaser/cluster_test.go
+++ b/internal/releaser/cluster_test.go
@@ -260,9 +260,17 @@
 	n.send(name, func(to *clusterNode) { to.HandleDecisions(n.name, []Decision{d}) })
 }
 
-func (n *clusterNode) BroadcastDecisions(decisions []Decision, except string) {
+func (n *clusterNode) BroadcastDecisions(decisions []Decision) {
 	for name := range n.cluster.nodes {
-		if name != n.name && name != except {
+		if name != n.name {
+			n.send(name, func(to *clusterNode) { to.HandleDecisions(n.name, decisions) })
+		}
+	}
+}
+
+func (n *clusterNode) RelayDecisions(decisions []Decision, from string) {
+	for name := range n.cluster.nodes {
+		if name != n.name && name != from && !slices.Contains(n.cluster.ranked, name) {
 			n.send(name, func(to *clusterNode) { to.HandleDecisions(n.name, decisions) })
 		}
 	}
--- a/internal/releaser/decider.go
+++ b/internal/releaser/decider.go
@@ -60,6 +60,7 @@
 func (r *Releaser) decide(ctx context.Context, now time.Time, o *rollout) {
 	if !r.acts(now, o) {
 		o.actingSince = time.Time{}
+		o.promoter.Observe(now)
 		return
 	}
 	paused := now.Sub(o.decidedAt) > LeaseTime
@@ -145,17 +146,29 @@
 	return known && 2*count > nodes
 }
 
-// send sends a decision to all nodes and takes it itself. The caller holds the lock.
+// send sends a decision to all nodes and takes it itself, unless one that differs little was sent
+// a short time ago. The caller holds the lock.
 func (r *Releaser) send(now time.Time, o *rollout, d promoter.Decision) {
+	known := o.decisions[r.Node]
+	if d.State == promoter.StateRunning && known != nil && now.Sub(known.receivedAt) < decisionInterval-tickInterval/2 && shareRatio(known.decision.Share, d.Share) <= loggedShareRatio {
+		return
+	}
 	decision := o.decision(now, r.Node, d)
-	low, high := min(o.loggedShare, d.Share), max(o.loggedShare, d.Share)
-	if high > loggedShareRatio*low {
+	if shareRatio(o.loggedShare, d.Share) > loggedShareRatio {
 		o.loggedShare = d.Share
 		target, all := o.promoter.Exposure()
 		r.Logger.Infof("rollout of service %s to version %q: %s at share %.3f, %d of %d runs on that version", o.order.Service, o.order.TargetVersion, d.State, d.Share, target, all)
 	}
 	r.take(now, o, decision)
-	r.Links.BroadcastDecisions([]Decision{decision}, "")
+	r.Links.BroadcastDecisions([]Decision{decision})
+}
+
+// shareRatio returns the ratio of the higher to the lower one of two shares; 1 if both are 0.
+func shareRatio(a, b float64) float64 {
+	if a == b {
+		return 1
+	}
+	return max(a, b) / min(a, b)
 }
 
 // decision returns the decision as it is sent to other nodes.
--- a/internal/releaser/releaser.go
+++ b/internal/releaser/releaser.go
@@ -21,6 +21,9 @@
 	loggedShareRatio = 1.5
 	// tickInterval is how often nodes report and deciders decide.
 	tickInterval = 100 * time.Millisecond
+	// decisionInterval is how often a decision is sent that changes little. Two may be lost
+	// before the lease ends.
+	decisionInterval = 2 * tickInterval
 	// LeaseTime is how long a decision is valid.
 	LeaseTime = 500 * time.Millisecond
 	// finalInterval is how often the verdict is sent again until finalTime has passed, for
@@ -71,9 +74,11 @@
 		SendReportsToDelegates(reports []Report)
 		// SendDecision sends a decision to a node to which there is a session.
 		SendDecision(name string, d Decision)
-		// BroadcastDecisions sends decisions to all nodes to which there is a session,
-		// except to the named one.
-		BroadcastDecisions(decisions []Decision, except string)
+		// BroadcastDecisions sends decisions to all nodes to which there is a session.
+		BroadcastDecisions(decisions []Decision)
+		// RelayDecisions sends decisions that the node from has sent to the nodes that
+		// rely on this delegate.
+		RelayDecisions(decisions []Decision, from string)
 	}
 
 	// Server is the backend server beside the node.
@@ -271,7 +276,7 @@
 	}
 	r.publish(now)
 	if r.Links.IsDelegate() {
-		r.Links.BroadcastDecisions(relayed, from)
+		r.Links.RelayDecisions(relayed, from)
 	}
 }
 
--- a/internal/releaser/releaser_test.go
+++ b/internal/releaser/releaser_test.go
@@ -93,6 +93,25 @@
 	}
 }
 
+// TestMessagesAreRelayed guards against nodes without a link to the decider that neither report to
+// it nor learn its decisions.
+func TestMessagesAreRelayed(t *testing.T) {
+	c := newCluster(t)
+	linked := func(name string) bool { return slices.Contains(c.ranked, name) }
+	c.cut = func(a, b string) bool { return a == "d0" && !linked(b) || b == "d0" && !linked(a) }
+	c.badAlternately("v2")
+	c.order("v2", testDuration)
+	c.startTarget("v2")
+	c.runUntil(4 * time.Second)
+	c.checkWritten("running v2", "rolled_back v2")
+	c.bad = func(string) bool { return false }
+	c.order("v3", testDuration)
+	c.startTarget("v3")
+	c.runUntil(4*time.Second + testDuration)
+	c.checkWritten("running v2", "rolled_back v2", "running v3", "completed v3")
+	c.checkRefused(0)
+}
+
 // TestNoDecisionMeansNoCalls guards against servers of the target version that run calls without
 // a valid decision: before the first one, and once all deciders are gone.
 func TestNoDecisionMeansNoCalls(t *testing.T) {
