Store each status of a rollout once when several candidates wait for the store

The first candidate now gets time to decide after the store is back, and a node leaves it to the one that has reached the verdict to store it for 1.5 s.

--- a/internal/releaser/decider.go
+++ b/internal/releaser/decider.go
@@ -10,8 +10,9 @@
 
 // statusState is what the decider knows about the stored status.
 type statusState struct {
-	// read reports whether the status was read, written the state that was written last.
-	read    bool
+	// readAt is when the status was read first, zero before, and written the state that was
+	// written last.
+	readAt  time.Time
 	written promoter.State
 	// pending reports whether a call to the store is under way, attemptedAt when the last
 	// one began.
@@ -69,11 +70,13 @@
 		o.actingSince = now
 		r.Logger.Infof("decider of the rollout of service %s to version %q", o.order.Service, o.order.TargetVersion)
 	}
-	if !o.status.read {
+	if o.status.readAt.IsZero() {
 		r.readStatus(ctx, now, o)
 	}
 	if o.final != "" {
-		r.writeStatus(ctx, now, o, o.final)
+		if o.concludedHere || now.Sub(o.finalAt) >= othersVerdictTime {
+			r.writeStatus(ctx, now, o, o.final)
+		}
 		if now.Sub(o.finalSentAt) >= o.finalInterval(now) && (!o.withdrawn || now.Sub(o.finalAt) < withdrawalTime) {
 			o.finalSentAt = now
 			r.send(now, o, promoter.Decision{State: o.final, Share: finalShare(o.final)})
@@ -83,7 +86,9 @@
 	if !r.hasQuorum(now, o) {
 		o.actingSince = now
 	}
-	if !o.status.read || now.Sub(o.actingSince) < collectTime {
+	// While the store is away all candidates wait for it, so the first one gets time to decide.
+	turn := time.Duration(slices.Index(o.candidates(), r.Node)) * (statusRetryTime + decisionInterval)
+	if o.status.readAt.IsZero() || now.Sub(o.status.readAt) < turn || now.Sub(o.actingSince) < collectTime {
 		return
 	}
 	d := o.promoter.Decide(now)
@@ -200,7 +205,9 @@
 		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		o.status.read = true
+		if o.status.readAt.IsZero() {
+			o.status.readAt = r.Clock.Now()
+		}
 		r.adopt(o, state)
 		return nil
 	})
--- a/internal/releaser/releaser.go
+++ b/internal/releaser/releaser.go
@@ -51,6 +51,9 @@
 	settleTime = 3 * tickInterval
 	// quorumTime is how long a report counts for the quorum.
 	quorumTime = 1200 * time.Millisecond
+	// othersVerdictTime is how long a decider leaves it to another node to store the verdict
+	// that this one has reached.
+	othersVerdictTime = 1500 * time.Millisecond
 	// statusTimeout bounds a call to the store, and statusRetryTime is the time between two
 	// attempts.
 	statusTimeout   = 2 * time.Second
