Read the status before a rollout is rolled back at its deadline

It now reads the status after the deadline before it decides; until then the target version gets no calls. Limits that are not numbers are 0 on all processors.

--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -6,6 +6,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/flamingotack/flamingotack/internal/validator"
 )
 
 // States of a rollout.
@@ -434,6 +436,10 @@
 	return RouteOutcomes{total.Requests - before.Requests, total.Failures - before.Failures, total.TotalTime - before.TotalTime}
 }
 
+// whole rounds a limit down. The conversion of numbers out of range differs between processors.
 func whole(requests float64) uint64 {
-	return uint64(max(0, requests))
+	if !(requests > 0) {
+		return 0
+	}
+	return uint64(min(requests, validator.MaxRate))
 }
--- a/internal/promoter/promoter_test.go
+++ b/internal/promoter/promoter_test.go
@@ -278,3 +278,25 @@
 		}
 	}
 }
+
+// TestPendingRunsKeepTheShare guards against a share that grows while many runs of the target
+// version have not ended, as those of a very slow version.
+func TestPendingRunsKeepTheShare(t *testing.T) {
+	for pending, want := range map[uint64]bool{0: true, 100: false} {
+		start := time.Unix(1000, 0)
+		p := New(start, Order{Service: "shop", TargetVersion: "v2", Duration: 10 * time.Second}, testBounds)
+		grown := false
+		for i := range uint64(70) {
+			now := start.Add(time.Duration(i) * reportInterval)
+			outcomes := func(runs uint64) map[string]RouteOutcomes {
+				return map[string]RouteOutcomes{"r": {Requests: runs, TotalTime: time.Duration(runs) * 20 * time.Millisecond}}
+			}
+			p.Report(now, NodeReport{Node: "a", Version: "v1", Started: 20 * i, Routes: outcomes(20 * i)})
+			p.Report(now, NodeReport{Node: "b", Version: "v2", Started: i + pending, Routes: outcomes(i)})
+			grown = grown || p.Decide(now).Share >= growthSteps[0].share
+		}
+		if grown != want {
+			t.Errorf("%d pending runs: got grown %t, want %t", pending, grown, want)
+		}
+	}
+}
--- a/internal/releaser/cluster_test.go
+++ b/internal/releaser/cluster_test.go
@@ -157,15 +157,12 @@
 			others = append(others, n)
 		}
 	}
+	for _, group := range [][]*clusterNode{target, others} {
+		c.random.Shuffle(len(group), func(i, j int) { group[i], group[j] = group[j], group[i] })
+	}
 	groups := others
-	if plan != nil {
-		switch share := plan.ShareAt(now); {
-		case share >= 1:
-			groups = slices.Concat(target, others)
-		case c.random.Float64() < share:
-			c.random.Shuffle(len(target), func(i, j int) { target[i], target[j] = target[j], target[i] })
-			groups = slices.Concat(target, others)
-		}
+	if plan != nil && c.random.Float64() < plan.ShareAt(now) {
+		groups = slices.Concat(target, others)
 	}
 	for _, n := range groups {
 		if n.run(now) {
--- a/internal/releaser/decider.go
+++ b/internal/releaser/decider.go
@@ -14,6 +14,9 @@
 	// written last.
 	readAt  time.Time
 	written promoter.State
+	// readLate reports whether the status was read after the deadline, completing whether this
+	// node has begun to store StateCompleted.
+	readLate, completing bool
 	// pending reports whether a call to the store is under way, attemptedAt when the last
 	// one began.
 	pending     bool
@@ -91,6 +94,12 @@
 	if o.status.readAt.IsZero() || now.Sub(o.status.readAt) < turn || now.Sub(o.actingSince) < collectTime {
 		return
 	}
+	if late := now.Sub(o.orderedAt) >= o.order.Duration; late && !o.status.readLate && !o.status.completing {
+		// Another decider may have stored StateCompleted shortly before. Until that is
+		// known, nothing is decided, so the target version gets no calls.
+		r.readStatus(ctx, now, o)
+		return
+	}
 	d := o.promoter.Decide(now)
 	switch d.State {
 	case promoter.StateRolledBack:
@@ -208,6 +217,7 @@
 		if o.status.readAt.IsZero() {
 			o.status.readAt = r.Clock.Now()
 		}
+		o.status.readLate = now.Sub(o.orderedAt) >= o.order.Duration
 		r.adopt(o, state)
 		return nil
 	})
@@ -264,6 +274,7 @@
 		return false
 	}
 	if state == promoter.StateCompleted {
+		o.status.completing = true
 		o.promoter.IgnoreDeadline()
 	}
 	return true
--- a/internal/releaser/releaser_test.go
+++ b/internal/releaser/releaser_test.go
@@ -136,6 +136,47 @@
 	c.checkRefused(0)
 }
 
+// TestDeciderCollectsReports guards against a decider that decides on old reports after a pause of its
+// process or after it was cut off: the nodes may have run many calls meanwhile.
+func TestDeciderCollectsReports(t *testing.T) {
+	for name, fault := range map[string]struct{ begin, end func(c *cluster) }{
+		"pause":   {func(c *cluster) { c.nodes["d0"].paused = true }, func(c *cluster) { c.nodes["d0"].resume() }},
+		"cut off": {func(c *cluster) { c.cut = func(a, b string) bool { return a != b } }, func(c *cluster) { c.cut = func(string, string) bool { return false } }},
+	} {
+		c := newCluster(t)
+		c.ranked = []string{"d0"}
+		c.order("v2", testDuration)
+		c.startTarget("v2")
+		c.runUntil(3 * time.Second)
+		fault.begin(c)
+		c.runUntil(5 * time.Second)
+		fault.end(c)
+		c.runUntil(5*time.Second + collectTime - tickInterval)
+		if share := c.nodes["caller"].Plan("shop").ShareAt(c.clock.Now()); share != 0 {
+			t.Errorf("%s: got share %g while reports are collected, want 0", name, share)
+		}
+		c.runUntil(6 * time.Second)
+		if share := c.nodes["caller"].Plan("shop").ShareAt(c.clock.Now()); share == 0 {
+			t.Errorf("%s: got share 0 after reports were collected, want more", name)
+		}
+	}
+}
+
+// TestDecisionsCountAfterAReport guards against a server that runs calls which the decider does not
+// count in the quota, as it does not know the node yet.
+func TestDecisionsCountAfterAReport(t *testing.T) {
+	start := time.Unix(1e6, 0)
+	o := rollout{order: director.Rollout{TargetVersion: "v2"}, firstReportAt: start, decisions: map[string]*receivedDecision{
+		"d": {decision: Decision{Decider: "d", MaxRequests: 9}, validUntil: start.Add(time.Hour)},
+	}}
+	if g := o.gate(start.Add(settleTime-1), 1); !g.ValidUntil.IsZero() || g.MaxRequests != 0 {
+		t.Errorf("got %d calls allowed shortly after the first report, want none", g.MaxRequests)
+	}
+	if g := o.gate(start.Add(settleTime), 1); g.MaxRequests != 9 {
+		t.Errorf("got %d calls allowed, want 9", g.MaxRequests)
+	}
+}
+
 // TestSecondOrder guards against a version of an earlier order that still gets calls.
 func TestSecondOrder(t *testing.T) {
 	c := newCluster(t)
