Make calls to the store end in a fixed order in the tests of rollouts

The race detector found the fake store of the simulated cluster used by the background calls of two nodes at once, which also made runs differ. The test waits for the calls of a node before the next node's turn.

--- a/internal/releaser/cluster_test.go
+++ b/internal/releaser/cluster_test.go
@@ -123,6 +123,8 @@
 			n := c.nodes[name]
 			if !n.paused && !n.down {
 				n.Tick(context.Background())
+				// Calls to the store end in a fixed order, so that each run is the same.
+				n.statusCalls.Wait()
 			}
 		}
 		// Replies and relayed messages are delivered at once.
@@ -133,9 +135,6 @@
 				deliver()
 			}
 		}
-		for _, n := range c.nodes {
-			n.statusCalls.Wait()
-		}
 	}
 }
 
@@ -258,7 +257,7 @@
 }
 
 func (n *clusterNode) BroadcastDecisions(decisions []Decision) {
-	for name := range n.cluster.nodes {
+	for _, name := range slices.Sorted(maps.Keys(n.cluster.nodes)) {
 		if name != n.name {
 			n.send(name, func(to *clusterNode) { to.HandleDecisions(n.name, decisions) })
 		}
@@ -266,7 +265,7 @@
 }
 
 func (n *clusterNode) RelayDecisions(decisions []Decision, from string) {
-	for name := range n.cluster.nodes {
+	for _, name := range slices.Sorted(maps.Keys(n.cluster.nodes)) {
 		if name != n.name && name != from && !slices.Contains(n.cluster.ranked, name) {
 			n.send(name, func(to *clusterNode) { to.HandleDecisions(n.name, decisions) })
 		}
--- a/internal/releaser/faults_test.go
+++ b/internal/releaser/faults_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -84,11 +86,13 @@
 	}
 	c.store.away = away
 	c.cut = func(a, b string) bool { return a != b && (cut[a] || cut[b]) }
-	for name, n := range c.nodes {
+	for _, name := range slices.Sorted(maps.Keys(c.nodes)) {
+		n := c.nodes[name]
 		switch {
 		case n.paused && !paused[name]:
 			n.resume()
 			n.Tick(context.Background())
+			n.statusCalls.Wait()
 		case paused[name]:
 			n.paused = true
 		}
