--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -10,13 +10,19 @@
 		value             func() int64
 	}{
 		{"flamingotack.revision", "Revision of the configuration in force.", func() int64 { return int64(n.table.Load().State.Revision) }},
+		{"flamingotack.restores", "Restores of the directory from an older copy that were seen.", n.rewriter.restores.Load},
+		{"flamingotack.rewrites", "Records that were written again after a restore of the directory.", n.rewriter.rewrites.Load},
 		{"flamingotack.peers.changes", "Changes of the other nodes and of the links to them.", func() int64 { return int64(n.linker.PeersVersion()) }},
 		{"flamingotack.links.lost", "Links to other nodes that broke or went silent.", n.linker.LostLinks.Load},
 		{"flamingotack.connections.dropped", "Connections of callers that were closed to make room.", n.acceptor.DroppedConnections.Load},
 		{"flamingotack.connections.failed", "Connections of callers that could not be accepted.", n.acceptor.AcceptFailures.Load},
 		{"flamingotack.unbegun", "Requests that were not begun, as their callers had left.", n.acceptor.AbandonedRequests.Load},
 		{"flamingotack.repeats", "Calls that were sent to another node after the first one.", n.forwarder.Retries.Load},
+		{"flamingotack.server.loads.malformed", "Answers of the backend server whose load figures could not be parsed.", n.guardian.MalformedLoads},
+		{"flamingotack.server.loads.disbelieved", "Times at which the work figure of the backend server ceased to agree with measured run times.", n.guardian.DisbelievedLoads},
+		{"flamingotack.server.loads.polled", "Health checks that were sent to the backend server for its load alone.", n.guardian.LoadPolls},
 		{"flamingotack.runs", "Calls that were sent to the backend server.", n.guardian.CallsSent.Load},
+		{"flamingotack.answers.invalid", "Answers of the backend server that were none.", n.guardian.Backend.InvalidResponses.Load},
 	} {
 		if err := n.settings.Meter.RegisterCounter(c.name, c.description, c.value); err != nil {
 			return err
@@ -28,11 +34,13 @@
 	}{
 		{"flamingotack.connections.open", "Connections of callers.", func() int64 { return int64(n.acceptor.OpenConnections()) }},
 		{"flamingotack.config.omitted", "Customers, routes and services that the configuration in force leaves out as invalid.", func() int64 { return int64(n.table.Load().Omitted().Total()) }},
+		{"flamingotack.era", "Era of the directory from which the configuration in force was read.", func() int64 { return int64(n.table.Load().State.Era) }},
 		{"flamingotack.links.up", "Links to other nodes that stand.", func() int64 { return int64(n.linker.ConnectedPeerCount()) }},
 		{"flamingotack.server.failing", "1 while many runs on the backend server end badly.", n.failingValue},
 		{"flamingotack.rollout.state", "Rollout of the node's service: 0 none, 1 running, 2 completed, 3 rolled back.", n.rolloutState},
 		{"flamingotack.rollout.share", "Calls of the node's service that go to the target version of its rollout, in percent.", n.rolloutShare},
 		{"flamingotack.rollout.exposure", "Calls that ran on the target version since the order, as far as the node knows.", n.rolloutExposure},
+		{"flamingotack.server.work", "Time that work takes on the instance of the backend server, in percent of the usual time; 0 if the server does not report it.", n.guardian.WorkPercent},
 		{"flamingotack.suspects", "Requests that ran when a backend server crashed and have not ended well since.", func() int64 { return int64(n.guardian.SuspectCount()) }},
 		{"flamingotack.delegate", "1 on a node that holds rates and follows the directory for others.", n.delegateValue},
 	} {
--- a/internal/composer/rollout_metrics.go
+++ b/internal/composer/rollout_metrics.go
@@ -1,5 +1,16 @@
 package composer
 
+import "context"
+
+// rewriteRolloutStatuses writes the statuses of the rollouts that this node decides again.
+func (n *Node) rewriteRolloutStatuses(ctx context.Context) error {
+	written, err := n.releaser.RewriteStatuses(ctx)
+	if err == nil && !written {
+		return errNothingToRewrite
+	}
+	return err
+}
+
 // rolloutShare returns the share of the calls of the node's service that goes to the target
 // version of a rollout, in percent.
 func (n *Node) rolloutShare() int64 {
--- a/internal/forwarder/rollouts.go
+++ b/internal/forwarder/rollouts.go
@@ -45,8 +45,9 @@
 
 // pickFirst picks a node of the first group that has one. The caller must hold f.mu.
 func (f *Forwarder) pickFirst(now time.Time, c *exchanger.Call, tried []string, groups ...[]router.Candidate) (picked router.Candidate, verdict router.Verdict) {
+	request := f.routerRequest(now, c)
 	for _, candidates := range groups {
-		picked, verdict = f.router.Pick(now, f.random, candidates, c.Priority, tried)
+		picked, verdict = f.router.Pick(now, f.random, candidates, request, tried)
 		if verdict == router.VerdictPicked {
 			return picked, verdict
 		}
--- a/internal/guardian/availability.go
+++ b/internal/guardian/availability.go
@@ -25,13 +25,18 @@
 	stateOpen = "open"
 )
 
-// Run checks the health of the backend server whenever its state is unknown. It returns
-// nil when ctx ends.
+// Run checks the health of the backend server whenever its state is unknown, and polls its load
+// where answers are rare. It returns nil when ctx ends.
 func (g *Guardian) Run(ctx context.Context) error {
+	ticker := time.NewTicker(loadPollInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-ticker.C:
+			g.pollLoadIfStale(ctx)
+			continue
 		case <-g.healthCheckNeeded:
 		}
 		for delay := minHealthCheckDelay; ctx.Err() == nil && g.needsHealthCheck(); delay = min(maxHealthCheckDelay, 2*delay) {
@@ -115,6 +120,7 @@
 		g.Logger.Warnf("health check failed: %v", err)
 		return false
 	}
+	g.observeServerLoad(response)
 	id := response.Header.Get(g.HeaderNames.Instance)
 	warmup, err := parseWarmup(response.Header.Get(g.HeaderNames.Warmup))
 	if response.Status != http.StatusOK || err != nil {
@@ -161,6 +167,10 @@
 	case ctx.Err() != nil:
 		return exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonCanceled, "the request was canceled while it ran")
 	}
+	var invalid *invoker.InvalidResponseError
+	if errors.As(err, &invalid) {
+		g.Logger.Warnf("backend server %s sent bytes that are no answer: %s", g.instanceID(), invalid.Detail)
+	}
 	return exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "%v", err)
 }
 
--- a/internal/releaser/decider.go
+++ b/internal/releaser/decider.go
@@ -5,6 +5,9 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/promoter"
 )
 
@@ -21,6 +24,14 @@
 	// one began.
 	pending     bool
 	attemptedAt time.Time
+	// resets counts the calls of reset. Calls to the store that began before the last one
+	// tell nothing about what is stored.
+	resets int
+}
+
+// reset forgets what is known about the stored status, as the store may have lost it.
+func (s *statusState) reset() {
+	*s = statusState{pending: s.pending, completing: s.completing, resets: s.resets + 1}
 }
 
 // report sends the outcomes of the node's own server. The caller holds the lock.
@@ -207,13 +218,17 @@
 // readStatus reads the stored status in the background. A verdict on the order that another
 // decider has stored is adopted. The caller holds the lock.
 func (r *Releaser) readStatus(ctx context.Context, now time.Time, o *rollout) {
+	order, resets := o.order, o.status.resets
 	r.callStore(ctx, now, o, func(ctx context.Context) error {
-		state, err := r.storedState(ctx, o)
+		state, err := r.storedState(ctx, o, order)
 		if err != nil {
 			return err
 		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
+		if o.status.resets != resets {
+			return nil
+		}
 		if o.status.readAt.IsZero() {
 			o.status.readAt = r.Clock.Now()
 		}
@@ -241,27 +256,78 @@
 	if o.status.written == state || isFinal(o.status.written) {
 		return
 	}
+	order, resets := o.order, o.status.resets
 	r.callStore(ctx, now, o, func(ctx context.Context) error {
-		stored, err := r.storedState(ctx, o)
-		if err != nil {
+		return r.storeStatus(ctx, o, order, state, resets)
+	})
+}
+
+// storeStatus stores the state of a rollout unless that or a verdict is stored, and adopts what is
+// stored then, unless the status was reset meanwhile. order is that of the rollout, which changes
+// under the lock.
+func (r *Releaser) storeStatus(ctx context.Context, o *rollout, order director.Rollout, state promoter.State, resets int) error {
+	stored, err := r.storedState(ctx, o, order)
+	if err != nil {
+		return err
+	}
+	if stored == "" || stored == promoter.StateRunning && state != stored {
+		if !r.mayStore(o, state) {
+			return nil
+		}
+		if err := r.Store.SaveRolloutStatus(ctx, order.Service, state, order.TargetVersion); err != nil {
 			return err
 		}
-		if stored == "" || stored == promoter.StateRunning && state != stored {
-			if !r.mayStore(o, state) {
-				return nil
-			}
-			if err := r.Store.SaveRolloutStatus(ctx, o.order.Service, state, o.order.TargetVersion); err != nil {
-				return err
-			}
-			r.Logger.Infof("status %s of the rollout of service %s to version %q stored", state, o.order.Service, o.order.TargetVersion)
-			stored = state
+		r.Logger.Infof("status %s of the rollout of service %s to version %q stored", state, order.Service, order.TargetVersion)
+		stored = state
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o.status.resets != resets {
+		return nil
+	}
+	o.formerVerdict = ""
+	r.adopt(o, stored)
+	return nil
+}
+
+// RewriteStatuses stores the statuses of the rollouts that this node decides, after the store was
+// restored from an older copy. It reports whether there were any. If it fails, it may be called
+// again.
+func (r *Releaser) RewriteStatuses(ctx context.Context) (written bool, err error) {
+	type rewrite struct {
+		rollout *rollout
+		order   director.Rollout
+		state   promoter.State
+		resets  int
+	}
+	var rewrites []rewrite
+	r.mu.Lock()
+	now := r.Clock.Now()
+	for _, o := range r.rollouts {
+		if o.status.pending {
+			err = errors.Newf("a call for the status of the rollout of service %s is under way", o.order.Service)
+			continue
+		}
+		acts, state := r.acts(now, o), o.final
+		if state == "" && len(o.decisions) > 0 {
+			state = promoter.StateRunning
+		}
+		o.status.reset()
+		if acts && state != "" {
+			o.status.pending = true
+			rewrites = append(rewrites, rewrite{o, o.order, state, o.status.resets})
 		}
+	}
+	r.mu.Unlock()
+	for _, w := range rewrites {
+		callCtx, cancel := context.WithTimeout(ctx, statusTimeout)
+		err = errors.CombineErrors(err, r.storeStatus(callCtx, w.rollout, w.order, w.state, w.resets))
+		cancel()
 		r.mu.Lock()
-		defer r.mu.Unlock()
-		o.formerVerdict = ""
-		r.adopt(o, stored)
-		return nil
-	})
+		w.rollout.status.pending = false
+		r.mu.Unlock()
+	}
+	return len(rewrites) > 0, err
 }
 
 // mayStore reports whether a state may be stored: no other verdict and no later order has come
@@ -282,11 +348,11 @@
 
 // storedState returns the stored state of the order; empty if the store holds that of another
 // order.
-func (r *Releaser) storedState(ctx context.Context, o *rollout) (promoter.State, error) {
-	state, target, err := r.Store.RolloutStatus(ctx, o.order.Service)
+func (r *Releaser) storedState(ctx context.Context, o *rollout, order director.Rollout) (promoter.State, error) {
+	state, target, err := r.Store.RolloutStatus(ctx, order.Service)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err != nil || target != o.order.TargetVersion || state == o.formerVerdict {
+	if err != nil || target != order.TargetVersion || state == o.formerVerdict {
 		return "", err
 	}
 	return state, nil
--- a/internal/releaser/rollout.go
+++ b/internal/releaser/rollout.go
@@ -78,7 +78,9 @@
 
 	// rollout is the state of one order on this node.
 	rollout struct {
-		order      director.Rollout
+		order director.Rollout
+		// formerIDs identify the order before it was written again in a new era.
+		formerIDs  []OrderID
 		orderedAt  time.Time
 		generation uint64
 		excluded   map[string]bool
@@ -157,8 +159,10 @@
 	known := r.rollouts[order.Service]
 	if known != nil && !known.withdrawn && known.continuedBy(order) {
 		if known.order != *order {
+			// Nodes that have not seen the new record yet name the former one.
+			known.formerIDs = append(known.formerIDs, known.id())
 			// The store may have lost the status as well.
-			known.status = statusState{pending: known.status.pending}
+			known.status.reset()
 		}
 		known.order = *order
 		return
@@ -216,9 +220,10 @@
 	r.conclude(o, promoter.StateRolledBack, "the order was withdrawn")
 }
 
-// concerns reports whether a message belongs to the order.
+// concerns reports whether a message belongs to the order. Nodes that read the order from a copy
+// of the store and nodes that knew it before give it different eras.
 func (o *rollout) concerns(id OrderID) bool {
-	return id == o.id()
+	return id.Revision == o.order.Revision || slices.Contains(o.formerIDs, id)
 }
 
 func (o *rollout) id() OrderID {
