--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -189,6 +189,16 @@
 	p.noDeadline = true
 }
 
+// CountDeadline reverts IgnoreDeadline.
+func (p *Promoter) CountDeadline() {
+	p.noDeadline = false
+}
+
+// Promoted reports whether all calls may have gone to the target version.
+func (p *Promoter) Promoted() bool {
+	return p.promoted
+}
+
 // MoveOrder moves the time of the order to an earlier one.
 func (p *Promoter) MoveOrder(orderedAt time.Time) {
 	if orderedAt.Before(p.orderedAt) {
