Send calls to old servers while those of the target version have no room

At share 1 calls were picked among the servers of the target version first, retries too. With 12 nodes, 11 of the target version, a call whose attempts the target version refused was refused although an old server had room. Until the rollout is completed, retries and calls without room at the target version now go to other versions first. TestRetriesGoToTheOldVersion and TestCallsFollowTheShare fail at share 1 without it.

--- a/internal/forwarder/rollouts.go
+++ b/internal/forwarder/rollouts.go
@@ -23,13 +23,14 @@
 
 // pickVersion picks the node for an attempt during a rollout: one of the target version for the
 // decided share of the calls, as long as such nodes have room, and one of another version for
-// the rest. If none of them takes calls, a node of the other group is picked. Retries go to
-// other versions while these have calls. The caller must hold f.mu.
+// the rest. If none of them takes calls, a node of the other group is picked. Retries go to other
+// versions until the rollout is completed, also at share 1: the servers of the target version may
+// all refuse the call while the old ones have room. The caller must hold f.mu.
 func (f *Forwarder) pickVersion(now time.Time, p *releaser.Plan, c *exchanger.Call, tried []string) (router.Candidate, router.Verdict) {
 	target, others := f.splitByVersion(p, f.candidates[c.Service])
 	share := p.ShareAt(now)
 	switch {
-	case share >= 1:
+	case p.Completed:
 		return f.pickFirst(now, c, tried, target, others)
 	case p.Undecided && len(others) == 0:
 		// The nodes beside the servers of the target version know whether it may run calls.
--- a/internal/forwarder/rollouts_test.go
+++ b/internal/forwarder/rollouts_test.go
@@ -35,6 +35,7 @@
 	}{
 		{"a tenth", plan(0.1, valid, nil), 50, nil, 60, 150, 0},
 		{"all", plan(1, valid, nil), 50, nil, 1000, 1000, 0},
+		{"all, target servers are full", plan(1, valid, nil), 0, nil, 0, 0, 0},
 		{"none", plan(0, valid, nil), 50, nil, 0, 0, 0},
 		{"decision has expired", plan(0.5, expired, nil), 50, nil, 0, 0, 0},
 		{"target servers are full", plan(0.5, valid, nil), 0, nil, 0, 0, 0},
@@ -79,11 +80,18 @@
 }
 
 // TestRetriesGoToTheOldVersion guards against calls that fail because servers of the target
-// version have used up their part of the exposure.
+// version have used up their part of the exposure, or turn requests away at share 1.
 func TestRetriesGoToTheOldVersion(t *testing.T) {
+	for _, share := range []float64{0.8, 1} {
+		checkRetriesGoToTheOldVersion(t, share)
+	}
+}
+
+func checkRetriesGoToTheOldVersion(t *testing.T, share float64) {
+	t.Helper()
 	f, l := newFixture(t, 12)
 	f.RolloutPlan = func(string) *releaser.Plan {
-		p := &releaser.Plan{Share: 0.8, ValidUntil: time.Now().Add(time.Hour)}
+		p := &releaser.Plan{Share: share, ValidUntil: time.Now().Add(time.Hour)}
 		p.TargetVersion = "v2"
 		return p
 	}
@@ -103,7 +111,7 @@
 	}
 	for range 100 {
 		if _, refusal := f.Forward(t.Context(), newCall(false), &director.Route{MaxAttempts: 1}); refusal != nil {
-			t.Fatalf("got refusal %v, want an answer of the old version", refusal)
+			t.Fatalf("share %g: got refusal %v, want an answer of the old version", share, refusal)
 		}
 	}
 }
