Drop reports of a rollout that are older than the known one

A relayed report with as many started but fewer ended runs made all outcomes of its node count again. With one such report per half second the evidence doubled, and a good version with three failures could be rolled back. A report with fewer ended runs is dropped, and a sum that falls adds nothing. TestOlderReportsAreDropped fails without the change.

--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -240,8 +240,8 @@
 		n = &nodeState{}
 		p.nodes[key] = n
 	}
-	if r.Started < n.report.Started {
-		// The report is older than the known one.
+	if r.Started < n.report.Started || r.ended() < n.report.ended() {
+		// The report is older than the known one: reports may be relayed.
 		return
 	}
 	target := r.Version == p.order.TargetVersion
@@ -405,12 +405,8 @@
 		if (key.version == p.order.TargetVersion) != target || now.Sub(n.reportedAt) > freshTime {
 			continue
 		}
-		ended := n.report.Cold.Requests
-		for _, o := range n.report.Routes {
-			ended += o.Requests
-		}
 		started += n.report.Started
-		pending += max(0, float64(n.report.Started)-float64(ended))
+		pending += max(0, float64(n.report.Started)-float64(n.report.ended()))
 	}
 	return pending, started
 }
@@ -439,9 +435,19 @@
 	return true
 }
 
+// ended returns the number of ended runs.
+func (r *NodeReport) ended() uint64 {
+	ended := r.Cold.Requests
+	for _, o := range r.Routes {
+		ended += o.Requests
+	}
+	return ended
+}
+
+// difference returns what was added to before, or nothing if total is not a later sum.
 func difference(total, before RouteOutcomes) RouteOutcomes {
 	if total.Requests < before.Requests || total.Failures < before.Failures || total.TotalTime < before.TotalTime {
-		return total
+		return RouteOutcomes{}
 	}
 	return RouteOutcomes{total.Requests - before.Requests, total.Failures - before.Failures, total.TotalTime - before.TotalTime}
 }
