--- a/internal/releaser/status_test.go
+++ b/internal/releaser/status_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/flamingotack/flamingotack/internal/director"
 	"github.com/flamingotack/flamingotack/internal/promoter"
 )
 
@@ -76,3 +77,22 @@
 		})
 	}
 }
+
+// TestOrderChangesDuringACallToTheStore guards against a data race between a call to the store and
+// an order that is written again in a new era.
+func TestOrderChangesDuringACallToTheStore(t *testing.T) {
+	c := newCluster(t)
+	c.order("v2", testDuration)
+	n := c.nodes["d0"]
+	order := c.orders[0]
+	for era := range uint64(200) {
+		n.Tick(t.Context())
+		order.Era = era + 1
+		n.Apply([]director.Rollout{order})
+		c.clock.Advance(tickInterval / 10)
+	}
+	n.statusCalls.Wait()
+	if n.Plan("shop") == nil {
+		t.Error("got no plan, want one")
+	}
+}
