Let a server of the target version settle once it is reported

A node took decisions as valid 300 ms after its first report, even if its server announced itself only later. Eight servers that announced themselves at once each ran calls by the quota of one: 744 calls were allowed where 93 were meant. The time now starts at the first report of a server of the target version. TestServersAnnouncedLater fails without it.

--- a/internal/releaser/decider.go
+++ b/internal/releaser/decider.go
@@ -20,9 +20,9 @@
 	}
 	for _, report := range reports {
 		o.record(now, report)
-	}
-	if o.firstReportAt.IsZero() {
-		o.firstReportAt = now
+		if report.Version == o.order.TargetVersion && o.targetReportedAt.IsZero() {
+			o.targetReportedAt = now
+		}
 	}
 	acting := ""
 	if d := o.validDecision(now); d != nil {
--- a/internal/releaser/releaser.go
+++ b/internal/releaser/releaser.go
@@ -46,8 +46,9 @@
 	// collectTime is how long a decider collects reports before it decides. The leases of
 	// its predecessor have expired then.
 	collectTime = LeaseTime + tickInterval
-	// settleTime is the time from a node's first report until it takes decisions as valid
-	// for its server. The decider knows the node then and counts it in the quota.
+	// settleTime is the time from a node's first report of a server of the target version
+	// until it takes decisions as valid for that server. The decider counts it in the quota
+	// then.
 	settleTime = 3 * tickInterval
 	// quorumTime is how long a report counts for the quorum.
 	quorumTime = 1200 * time.Millisecond
--- a/internal/releaser/releaser_test.go
+++ b/internal/releaser/releaser_test.go
@@ -166,7 +166,7 @@
 // count in the quota, as it does not know the node yet.
 func TestDecisionsCountAfterAReport(t *testing.T) {
 	start := time.Unix(1e6, 0)
-	o := rollout{order: director.Rollout{TargetVersion: "v2"}, firstReportAt: start, decisions: map[string]*receivedDecision{
+	o := rollout{order: director.Rollout{TargetVersion: "v2"}, targetReportedAt: start, decisions: map[string]*receivedDecision{
 		"d": {decision: Decision{Decider: "d", MaxRequests: 9}, validUntil: start.Add(time.Hour)},
 	}}
 	if g := o.gate(start.Add(settleTime-1), 1); !g.ValidUntil.IsZero() || g.MaxRequests != 0 {
@@ -177,6 +177,44 @@
 	}
 }
 
+// TestServersAnnouncedLater guards against servers of the target version that announce themselves
+// at once to nodes that have reported for long, and run calls by a quota that was split among
+// fewer.
+func TestServersAnnouncedLater(t *testing.T) {
+	c := newCluster(t)
+	var late []*clusterNode
+	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		n := c.add(name, "v1")
+		n.version, n.Service, n.report.Version = "", "shop", ""
+		late = append(late, n)
+	}
+	announce := func(nodes []*clusterNode) {
+		for _, n := range nodes {
+			n.version, n.report.Version = "v2", "v2"
+		}
+	}
+	c.order("v2", testDuration)
+	c.runUntil(2 * time.Second)
+	announce(late[:1])
+	c.runUntil(3 * time.Second)
+	most := late[0].gate.MaxRequests
+	if most == 0 {
+		t.Fatal("got no calls allowed 1 s after a server announced itself, want some")
+	}
+	announce(late[1:])
+	for end := c.elapsed() + settleTime; c.elapsed() < end; c.runUntil(c.elapsed() + tickInterval) {
+		allowed := uint64(0)
+		for _, n := range late {
+			if c.clock.Now().Before(n.gate.ValidUntil) {
+				allowed += n.gate.MaxRequests
+			}
+		}
+		if allowed > most+most/2 {
+			t.Errorf("got %d calls allowed by all servers after more have announced themselves, want about %d", allowed, most)
+		}
+	}
+}
+
 // TestSecondOrder guards against a version of an earlier order that still gets calls.
 func TestSecondOrder(t *testing.T) {
 	c := newCluster(t)
--- a/internal/releaser/rollout.go
+++ b/internal/releaser/rollout.go
@@ -98,11 +98,11 @@
 		// started holds the newest numbers of runs on the target version by node and
 		// incarnation.
 		started map[string]uint64
-		// firstReportAt and standbyReportAt are when this node reported first, and last to
-		// all candidates.
-		firstReportAt, standbyReportAt time.Time
-		ranked                         []string
-		decisions                      map[string]*receivedDecision
+		// targetReportedAt is when this node first reported a server of the target
+		// version, standbyReportAt when it last reported to all candidates.
+		targetReportedAt, standbyReportAt time.Time
+		ranked                            []string
+		decisions                         map[string]*receivedDecision
 
 		// actingSince is when this node began to act as the decider; zero while it does
 		// not.
@@ -296,7 +296,7 @@
 
 func (o *rollout) gate(now time.Time, generation uint64) *Gate {
 	g := &Gate{versionRules: o.rules(), Generation: generation}
-	if o.firstReportAt.IsZero() || now.Sub(o.firstReportAt) < settleTime {
+	if o.targetReportedAt.IsZero() || now.Sub(o.targetReportedAt) < settleTime {
 		return g
 	}
 	if d := o.validDecision(now); d != nil {
