Let the sequence of decisions grow when the wall clock is set back

The sequence was the wall time, so the decisions of a node whose clock is set back were dropped as old until the clock had caught up. It is now at least one more than the last. TestClockIsSetBack fails without the change.

--- a/internal/releaser/decider.go
+++ b/internal/releaser/decider.go
@@ -189,6 +189,11 @@
 
 // decision returns the decision as it is sent to other nodes.
 func (o *rollout) decision(now time.Time, decider string, d promoter.Decision) Decision {
+	// The wall clock orders the decisions of a node that was restarted, but it may be set back.
+	sequence := uint64(now.UnixNano())
+	if known := o.decisions[decider]; known != nil {
+		sequence = max(sequence, known.decision.Sequence+1)
+	}
 	started := make([]uint64, 0, len(o.started))
 	for _, runs := range o.started {
 		started = append(started, runs)
@@ -200,7 +205,7 @@
 		State:         d.State,
 		Share:         d.Share,
 		MaxRequests:   promoter.Quota(d.MaxRequests, started),
-		Sequence:      uint64(now.UnixNano()),
+		Sequence:      sequence,
 		Decider:       decider,
 		Left:          LeaseTime,
 	}
--- a/internal/releaser/releaser_test.go
+++ b/internal/releaser/releaser_test.go
@@ -354,3 +354,19 @@
 		}
 	}
 }
+
+// TestClockIsSetBack guards against decisions that all nodes drop as old because the wall clock of
+// the decider was set back.
+func TestClockIsSetBack(t *testing.T) {
+	c := newCluster(t)
+	c.order("v2", testDuration)
+	c.startTarget("v2")
+	c.runUntil(3 * time.Second)
+	n := c.nodes["d0"]
+	o := n.rollouts["shop"]
+	last := o.decisions["d0"].decision.Sequence
+	got := o.decision(c.clock.Now().Add(-time.Hour), "d0", promoter.Decision{State: promoter.StateRunning}).Sequence
+	if got != last+1 {
+		t.Errorf("got sequence %d after the clock was set back, want %d", got, last+1)
+	}
+}
