--- a/internal/linker/rollouts.go
+++ b/internal/linker/rollouts.go
@@ -200,7 +200,7 @@
 		MaxRequests:   d.MaxRequests,
 		Sequence:      d.Sequence,
 		Decider:       d.Decider,
-		LeftMicros:    d.Left.Microseconds(),
+		LeftMicros:    d.ValidFor.Microseconds(),
 	}
 }
 
@@ -255,7 +255,7 @@
 		MaxRequests:   m.GetMaxRequests(),
 		Sequence:      m.GetSequence(),
 		Decider:       m.GetDecider(),
-		Left:          microseconds(m.GetLeftMicros()),
+		ValidFor:      microseconds(m.GetLeftMicros()),
 	}, nil
 }
 
--- a/internal/linker/rollouts_test.go
+++ b/internal/linker/rollouts_test.go
@@ -26,7 +26,7 @@
 	}
 	decision := releaser.Decision{
 		Service: "s", Order: releaser.OrderID{Era: 1, Revision: 9}, TargetVersion: "v2", State: promoter.StateRunning,
-		Share: 0.3, MaxRequests: math.MaxUint64, Sequence: 5, Decider: "d", Left: time.Second,
+		Share: 0.3, MaxRequests: math.MaxUint64, Sequence: 5, Decider: "d", ValidFor: time.Second,
 	}
 	if got, err := toDecision(fromDecision(decision)); err != nil || got != decision {
 		t.Errorf("got decision %+v and error %v, want %+v", got, err, decision)
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -217,9 +217,9 @@
 	return target, all
 }
 
-// Follow records that another node has decided on a share. Growth goes on from there, so that a
+// AdoptShare records that another node has decided on a share. Growth goes on from there, so that a
 // change of the deciding node costs little time.
-func (p *Promoter) Follow(now time.Time, share float64) {
+func (p *Promoter) AdoptShare(now time.Time, share float64) {
 	step := 0
 	for step < len(growthSteps) && growthSteps[step].share > 0 && share >= growthSteps[step].share {
 		step++
@@ -281,7 +281,7 @@
 	}
 	budget := p.budget(elapsed)
 	if !p.promoted && !p.hasTarget(now) {
-		return Decision{State: StateRunning, MaxRequests: whole(canaryBudgetFraction * budget)}
+		return Decision{State: StateRunning, MaxRequests: roundDown(canaryBudgetFraction * budget)}
 	}
 	p.grow(now, elapsed)
 	switch {
@@ -292,10 +292,10 @@
 		}
 		return d
 	case p.step > 0:
-		return Decision{State: StateRunning, Share: growthSteps[p.step-1].share, MaxRequests: whole(budget)}
+		return Decision{State: StateRunning, Share: growthSteps[p.step-1].share, MaxRequests: roundDown(budget)}
 	default:
 		limit := canaryBudgetFraction * budget
-		return Decision{State: StateRunning, Share: p.canaryShare(elapsed, limit), MaxRequests: whole(limit)}
+		return Decision{State: StateRunning, Share: p.canaryShare(elapsed, limit), MaxRequests: roundDown(limit)}
 	}
 }
 
@@ -452,8 +452,8 @@
 	return RouteOutcomes{total.Requests - before.Requests, total.Failures - before.Failures, total.TotalTime - before.TotalTime}
 }
 
-// whole rounds a limit down. The conversion of numbers out of range differs between processors.
-func whole(requests float64) uint64 {
+// roundDown rounds a limit down. The conversion of numbers out of range differs between processors.
+func roundDown(requests float64) uint64 {
 	if !(requests > 0) {
 		return 0
 	}
--- a/internal/releaser/decider.go
+++ b/internal/releaser/decider.go
@@ -175,7 +175,7 @@
 		target, all := o.promoter.Exposure()
 		r.Logger.Infof("rollout of service %s to version %q: %s at share %.3f, %d of %d runs on that version", o.order.Service, o.order.TargetVersion, d.State, d.Share, target, all)
 	}
-	r.take(now, o, decision)
+	r.recordDecision(now, o, decision)
 	r.Links.BroadcastDecisions([]Decision{decision})
 }
 
@@ -207,7 +207,7 @@
 		MaxRequests:   promoter.Quota(d.MaxRequests, started),
 		Sequence:      sequence,
 		Decider:       decider,
-		Left:          LeaseTime,
+		ValidFor:      LeaseTime,
 	}
 }
 
--- a/internal/releaser/releaser.go
+++ b/internal/releaser/releaser.go
@@ -271,7 +271,7 @@
 		if d.Decider == r.Node || o == nil || !o.concerns(d.Order) || d.TargetVersion != o.order.TargetVersion {
 			continue
 		}
-		if r.take(now, o, d) {
+		if r.recordDecision(now, o, d) {
 			relayed = append(relayed, d)
 		}
 	}
@@ -284,14 +284,14 @@
 	}
 }
 
-// take records a decision and reports whether it is new.
-func (r *Releaser) take(now time.Time, o *rollout, d Decision) bool {
+// recordDecision records a decision and reports whether it is new.
+func (r *Releaser) recordDecision(now time.Time, o *rollout, d Decision) bool {
 	if known := o.decisions[d.Decider]; known != nil && d.Sequence <= known.decision.Sequence {
 		return false
 	}
-	o.decisions[d.Decider] = &receivedDecision{decision: d, receivedAt: now, validUntil: now.Add(min(LeaseTime, d.Left))}
+	o.decisions[d.Decider] = &receivedDecision{decision: d, receivedAt: now, validUntil: now.Add(min(LeaseTime, d.ValidFor))}
 	if d.Decider != r.Node {
-		o.promoter.Follow(now, d.Share)
+		o.promoter.AdoptShare(now, d.Share)
 	}
 	if d.State != promoter.StateRunning {
 		r.conclude(o, d.State, "decided by node "+d.Decider)
--- a/internal/releaser/rollout.go
+++ b/internal/releaser/rollout.go
@@ -39,8 +39,8 @@
 		// Sequence grows with each decision of a decider.
 		Sequence uint64
 		Decider  string
-		// Left is how long the decision is valid after it is received.
-		Left time.Duration
+		// ValidFor is how long the decision is valid after it is received.
+		ValidFor time.Duration
 	}
 
 	// Plan tells the node which versions of a service its calls may go to. It is immutable.
@@ -177,7 +177,7 @@
 		decisions:  map[string]*receivedDecision{},
 	}
 	if known != nil {
-		o.succeed(known)
+		o.inheritFrom(known)
 	}
 	r.generation++
 	o.generation = r.generation
@@ -191,9 +191,9 @@
 	return o.order.ContinuedBy(order) || o.final == promoter.StateCompleted && o.order.TargetVersion == order.TargetVersion
 }
 
-// succeed takes over from an earlier order which versions get no calls. A target version that
+// inheritFrom takes over from an earlier order which versions get no calls. A target version that
 // was not completed counts as rolled back.
-func (o *rollout) succeed(former *rollout) {
+func (o *rollout) inheritFrom(former *rollout) {
 	if former.final != promoter.StateCompleted {
 		o.excluded = former.excluded
 		o.excluded[former.order.TargetVersion] = true
