Fit the phases of a rollout into short orders

Steps, idle times and the end of the canary phase suited orders of 10 s and more: orders of 4 s and less were always rolled back, and a version whose servers started at 0.6 of 6 s was not completed.

--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -21,17 +21,6 @@
 )
 
 const (
-	// canaryEndFraction is the fraction of the duration after which the share grows. The
-	// target version is observed at a small share until then, so that a version that turns
-	// bad only after some seconds does so while its share is small.
-	canaryEndFraction = 0.6
-	// minCanaryFraction is the fraction of the duration for which warm servers of the target
-	// version are observed at a small share, unless latestGrowthFraction of it is reached.
-	minCanaryFraction    = 0.3
-	latestGrowthFraction = 0.75
-	// latestPromotionFraction is the fraction of the duration from which on a step of growth
-	// lasts only for its least time.
-	latestPromotionFraction = 0.72
 	// canaryBudgetFraction is the part of the budget that is used until the share grows. The
 	// rest is for the growth, where a version that is bad only under load shows it.
 	canaryBudgetFraction = 0.35
@@ -54,9 +43,6 @@
 	// report a node counts as stopped, so that a crashed node does not block the rollout.
 	freshTime = 500 * time.Millisecond
 	goneTime  = 1500 * time.Millisecond
-	// idleTime is how long the old servers must have been idle. It covers calls that are on
-	// their way from nodes whose decision is out of date.
-	idleTime = 500 * time.Millisecond
 	// maxPendingFactor is the number of pending runs, relative to the number expected from
 	// the old version's run times, above which the share does not grow: runs of a slow
 	// version have not ended yet. minPending is the number that is never too high.
@@ -64,10 +50,10 @@
 	minPending       = 4.0
 )
 
-// growthSteps are the shares after the canary phase, with the least time for each and the
-// fraction of the budget that is used before the next one. The least times together use less
-// than half of a second's requests, which fits into 0.1 of 10 s. At low request rates the
-// budget lasts for longer, which gives more outcomes.
+// growthSteps are the shares after the canary phase, with the least time for each, which is shorter
+// in short orders, and the fraction of the budget that is used before the next one. The least
+// times together use less than half of a second's requests, which fits into 0.1 of 10 s. At low
+// request rates the budget lasts for longer, which gives more outcomes.
 var growthSteps = []struct {
 	share          float64
 	time           time.Duration
@@ -139,6 +125,7 @@
 		order     Order
 		bounds    Bounds
 		orderedAt time.Time
+		pace      pace
 		nodes     map[nodeKey]*nodeState
 		evidence  evidence
 		// firstOutcomeAt is when the first run on a warm server of the target version had
@@ -176,7 +163,7 @@
 
 // New returns a Promoter of an order that was given at orderedAt.
 func New(orderedAt time.Time, o Order, b Bounds) *Promoter {
-	return &Promoter{order: o, bounds: b, orderedAt: orderedAt, nodes: map[nodeKey]*nodeState{}, evidence: newEvidence(o.Duration)}
+	return &Promoter{order: o, bounds: b, orderedAt: orderedAt, pace: newPace(o.Duration), nodes: map[nodeKey]*nodeState{}, evidence: newEvidence(o.Duration)}
 }
 
 // Reason returns why the rollout was rolled back; empty if it was not.
@@ -287,7 +274,7 @@
 	switch {
 	case p.promoted:
 		d := Decision{State: StateRunning, Share: 1, MaxRequests: math.MaxUint64}
-		if now.Sub(p.stepAt) >= idleTime && p.hasTarget(now) && p.oldServersIdle(now) {
+		if now.Sub(p.stepAt) >= p.pace.idleTime && p.hasTarget(now) && p.oldServersIdle(now) {
 			d.State = StateCompleted
 		}
 		return d
@@ -319,7 +306,7 @@
 func (p *Promoter) canaryShare(elapsed time.Duration, limit float64) float64 {
 	target, _ := p.Exposure()
 	rate := p.rate(elapsed)
-	left := time.Duration(canaryEndFraction*float64(p.order.Duration)) - elapsed
+	left := p.pace.canaryEnd - elapsed
 	if rate == 0 || left <= 0 {
 		return minCanaryShare
 	}
@@ -349,21 +336,20 @@
 // stepDone reports whether the current step of growth has lasted for long enough.
 func (p *Promoter) stepDone(now time.Time, elapsed time.Duration) bool {
 	step := growthSteps[p.step-1]
-	if now.Sub(p.stepAt) < step.time {
+	if now.Sub(p.stepAt) < min(step.time, p.pace.maxStepTime) {
 		return false
 	}
 	target, _ := p.Exposure()
-	return float64(target) >= step.budgetFraction*p.budget(elapsed) || elapsed >= time.Duration(latestPromotionFraction*float64(p.order.Duration))
+	return float64(target) >= step.budgetFraction*p.budget(elapsed) || elapsed >= p.pace.latestPromotion
 }
 
 // canaryDone reports whether the target version was observed at a small share for long
 // enough.
 func (p *Promoter) canaryDone(elapsed time.Duration) bool {
-	duration := float64(p.order.Duration)
 	switch {
-	case elapsed < time.Duration(canaryEndFraction*duration):
+	case elapsed < p.pace.canaryEnd:
 		return false
-	case elapsed >= time.Duration(latestGrowthFraction*duration):
+	case elapsed >= p.pace.latestGrowth:
 		return true
 	case p.firstOutcomeAt.IsZero():
 		return p.rate(elapsed)*elapsed.Seconds()*minCanaryShare < 1
@@ -371,7 +357,7 @@
 	_, all := p.Exposure()
 	observed := elapsed - p.firstOutcomeAt.Sub(p.orderedAt)
 	wanted := min(minEvidence, minCanaryShare*float64(all))
-	return observed >= time.Duration(minCanaryFraction*duration) && float64(p.evidence.targetRuns) >= wanted
+	return observed >= p.pace.minCanaryTime && float64(p.evidence.targetRuns) >= wanted
 }
 
 // tooManyPending reports whether more runs of the target version are pending than the run
@@ -421,14 +407,14 @@
 	return false
 }
 
-// oldServersIdle reports whether every server of another version has been idle for idleTime.
+// oldServersIdle reports whether every server of another version has been idle for long enough.
 func (p *Promoter) oldServersIdle(now time.Time) bool {
 	for key, n := range p.nodes {
 		age := now.Sub(n.reportedAt)
 		if key.version == p.order.TargetVersion || age > goneTime {
 			continue
 		}
-		if age > freshTime || n.idleSince.IsZero() || now.Sub(n.idleSince) < idleTime {
+		if age > freshTime || n.idleSince.IsZero() || now.Sub(n.idleSince) < p.pace.idleTime {
 			return false
 		}
 	}
--- a/internal/releaser/releaser_test.go
+++ b/internal/releaser/releaser_test.go
@@ -370,3 +370,23 @@
 		t.Errorf("got sequence %d after the clock was set back, want %d", got, last+1)
 	}
 }
+
+// TestShortOrder guards against short orders of good versions that are rolled back, as decisions,
+// reports and the store take time.
+func TestShortOrder(t *testing.T) {
+	for _, duration := range []time.Duration{3 * time.Second, 4 * time.Second, 6 * time.Second} {
+		c := newCluster(t)
+		c.order("v2", duration)
+		c.startTarget("v2")
+		c.runUntil(duration)
+		c.checkWritten("running v2", "completed v2")
+		c.checkRefused(0)
+	}
+	c := newCluster(t)
+	c.badAlternately("v2")
+	c.order("v2", 4*time.Second)
+	c.startTarget("v2")
+	c.runUntil(4 * time.Second)
+	c.checkWritten("running v2", "rolled_back v2")
+	c.checkExposure("v2")
+}
