Judge a version by the requests that it turns away or that crash it

Runs that a server turned away as not executed counted as ended on a cold server, and requests refused because they crash servers as good. So a version that turns most requests away, or that crashes, was not rolled back for that. Turned away requests are now reported under a name of their own and compared with those of the old version at the same time, so that a service that is full does not roll back the new version.

--- a/internal/guardian/rollout.go
+++ b/internal/guardian/rollout.go
@@ -165,6 +165,10 @@
 	}
 	if refusal != nil && refusal.Ran == exchanger.RanNo {
 		// The request did not run, so its time says nothing.
+		if refusal.Reason == exchanger.ReasonServerFull && !r.cold {
+			r.count(promoter.TurnedAwayRoute, promoter.RouteOutcomes{Requests: 1})
+			return
+		}
 		r.cold = true
 	}
 	r.count(s.Route, outcome)
@@ -187,7 +191,7 @@
 		return reply.Status >= http.StatusInternalServerError
 	}
 	switch refusal.Reason {
-	case exchanger.ReasonBroken, exchanger.ReasonDeadline, exchanger.ReasonUnreachable:
+	case exchanger.ReasonBroken, exchanger.ReasonCrashRequest, exchanger.ReasonDeadline, exchanger.ReasonUnreachable:
 		return true
 	default:
 		return false
--- a/internal/guardian/rollout_test.go
+++ b/internal/guardian/rollout_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/flamingotack/flamingotack/internal/attributor"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
+	"github.com/flamingotack/flamingotack/internal/promoter"
 	"github.com/flamingotack/flamingotack/internal/releaser"
 )
 
@@ -127,3 +129,28 @@
 		t.Errorf("got %+v after a new order, want 1 run on a cold server", r)
 	}
 }
+
+// TestTurnedAwayRunsAreReported guards against requests that a server turns away, or that crash it,
+// and that count as nothing against its version.
+func TestTurnedAwayRunsAreReported(t *testing.T) {
+	f := newFixture(t, nil)
+	f.announceVersion("v1", 0)
+	f.ApplyRollout(f.gate(1, 10))
+	run, _ := f.startRolloutRun()
+	run.end(&attributor.Summary{Route: "r"}, nil, exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonServerFull, ""))
+	run, _ = f.startRolloutRun()
+	run.end(&attributor.Summary{Route: "r"}, nil, exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonCrashRequest, ""))
+	r := f.RolloutReports()[0]
+	if got := r.Routes[promoter.TurnedAwayRoute].Requests; got != 1 || r.Routes["r"].Requests != 1 || r.Routes["r"].Failures != 1 || r.Cold.Requests != 0 {
+		t.Errorf("got %+v, want one request turned away and one failure", r)
+	}
+	f.announceVersion("v2", 0)
+	f.HandleHeartbeat(Heartbeat{ID: "s1", StartUnixMillis: 1, Sequence: 9, Slots: 8, Version: "v2", WarmupRemaining: time.Second})
+	run, _ = f.startRolloutRun()
+	run.end(&attributor.Summary{Route: "r"}, nil, exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonServerFull, ""))
+	for _, r := range f.RolloutReports() {
+		if r.Version == "v2" && (r.Cold.Requests != 1 || r.Cold.Failures != 0 || len(r.Routes) != 0) {
+			t.Errorf("got %+v of a cold server, want one run that did not fail", r)
+		}
+	}
+}
--- a/internal/promoter/evidence.go
+++ b/internal/promoter/evidence.go
@@ -71,6 +71,9 @@
 		oldTotal    RouteOutcomes
 		// cold holds the outcomes on cold servers of the target version.
 		cold RouteOutcomes
+		// targetTurnedAway and oldTurnedAway are the numbers of requests that warm servers
+		// of the versions turned away.
+		targetTurnedAway, oldTurnedAway uint64
 	}
 
 	// comparison compares the outcomes of the target version with those expected from the
@@ -100,10 +103,16 @@
 }
 
 func (b *bucket) add(target bool, route string, o RouteOutcomes) {
-	if o.Requests == 0 {
+	switch {
+	case o.Requests == 0:
 		return
-	}
-	if target {
+	case route == TurnedAwayRoute && target:
+		b.targetTurnedAway += o.Requests
+		return
+	case route == TurnedAwayRoute:
+		b.oldTurnedAway += o.Requests
+		return
+	case target:
 		b.target[route] = sum(b.target[route], o)
 		b.evidence.targetRuns += o.Requests
 		return
@@ -154,6 +163,9 @@
 		if reason := all.verdict(); reason != "" {
 			return "all routes: " + reason
 		}
+		if reason := e.turnedAwayVerdict(start, end); reason != "" {
+			return "all routes: " + reason
+		}
 	}
 	return ""
 }
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -98,7 +98,8 @@
 		Node, Incarnation, Version string
 		// Started is the number of started runs.
 		Started uint64
-		// Routes holds the outcomes by route, without the runs of a cold server.
+		// Routes holds the outcomes by route, without the runs of a cold server, and the
+		// number of requests that were turned away at TurnedAwayRoute.
 		Routes map[string]RouteOutcomes
 		// Cold holds the outcomes of the runs that started while the server was cold.
 		Cold RouteOutcomes
@@ -236,7 +237,7 @@
 	for route, total := range r.Routes {
 		delta := difference(total, n.report.Routes[route])
 		at.add(target, route, delta)
-		if target && delta.Requests > 0 && p.firstOutcomeAt.IsZero() {
+		if target && route != TurnedAwayRoute && delta.Requests > 0 && p.firstOutcomeAt.IsZero() {
 			p.firstOutcomeAt = now
 		}
 	}
