Refuse fewer calls by the quota of idle nodes

Nodes of the target version that get no calls kept their part of the limit, so a step of growth lasted while the other nodes had used theirs and refused calls. A step now ends once the nodes that get calls have used their quota, and a node that has used it reports itself closed and tells others when it is open again. TestRolloutGate expected an open server with no runs left; it now expects a closed one.

--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -206,8 +206,9 @@
 	defer g.mu.Unlock()
 	g.lastSequence++
 	report := LoadReport{Sequence: g.lastSequence, Closed: g.state != stateOpen}
-	if g.rollout.Load() != nil {
+	if ledger := g.rollout.Load(); ledger != nil {
 		report.Version = g.server.LastHeartbeat.Version
+		report.Closed = report.Closed || ledger.usedUp(report.Version)
 	}
 	g.queue.fillReport(&report)
 	g.fillSpeed(&report)
--- a/internal/guardian/rollout.go
+++ b/internal/guardian/rollout.go
@@ -34,10 +34,16 @@
 // ApplyRollout puts the part of a rollout in force that concerns the server; nil ends it.
 func (g *Guardian) ApplyRollout(gate *releaser.Gate) {
 	ledger := g.rollout.Load()
+	same, changed := false, false
+	if ledger != nil && gate != nil {
+		same, changed = ledger.replaceGate(gate)
+	}
 	switch {
 	case gate == nil:
 		g.rollout.Store(nil)
-	case ledger == nil || !ledger.replaceGate(gate):
+	case changed:
+		g.OnChange()
+	case !same:
 		g.rollout.Store(&rolloutLedger{gate: gate, versions: map[string]*promoter.NodeReport{}, reportedStarts: map[string]uint64{}})
 		// The other nodes must learn the version.
 		g.OnChange()
@@ -96,25 +102,44 @@
 	defer ledger.mu.Unlock()
 	counts := ledger.counts(version)
 	reason, detail := ledger.closedReasonLocked(now, version)
-	if reason == "" && !ledger.gate.Unlimited(version) && counts.Started >= ledger.gate.MaxRequests {
+	if reason == "" && ledger.usedUpLocked(version) {
 		reason, detail = exchanger.ReasonNotReady, "the rollout allows no further calls of the target version"
 	}
 	if reason != "" {
 		return nil, exchanger.NotRun(http.StatusServiceUnavailable, reason, "%s", detail)
 	}
 	counts.Started++
+	if ledger.usedUpLocked(version) {
+		defer g.OnChange()
+	}
 	return &rolloutRun{ledger: ledger, counts: counts, cold: cold}, nil
 }
 
-// replaceGate replaces the gate and reports whether it belongs to the same order.
-func (l *rolloutLedger) replaceGate(gate *releaser.Gate) bool {
+// replaceGate replaces the gate. same reports whether it belongs to the same order, changed whether
+// a version has or has no longer used up its runs.
+func (l *rolloutLedger) replaceGate(gate *releaser.Gate) (same, changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.gate.Generation != gate.Generation {
-		return false
+		return false, false
 	}
+	target := gate.TargetVersion
+	before := l.usedUpLocked(target)
 	l.gate = gate
-	return true
+	_, known := l.versions[target]
+	return true, known && l.usedUpLocked(target) != before
+}
+
+// usedUp reports whether a server of a version has had all runs that the gate allows.
+func (l *rolloutLedger) usedUp(version string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.usedUpLocked(version)
+}
+
+// usedUpLocked is usedUp for callers that hold the lock.
+func (l *rolloutLedger) usedUpLocked(version string) bool {
+	return !l.gate.Unlimited(version) && l.counts(version).Started >= l.gate.MaxRequests
 }
 
 // closedReason returns why no call may run on a server of a version; an empty reason if calls
--- a/internal/guardian/rollout_test.go
+++ b/internal/guardian/rollout_test.go
@@ -38,7 +38,7 @@
 		{"old version", "v1", func(*fixture, *releaser.Gate) {}, "", false},
 		{"old version without decision", "v1", func(_ *fixture, g *releaser.Gate) { g.ValidUntil = time.Time{} }, "", false},
 		{"no decision", "v2", func(_ *fixture, g *releaser.Gate) { g.ValidUntil = time.Time{} }, exchanger.ReasonNotReady, true},
-		{"used up", "v2", func(_ *fixture, g *releaser.Gate) { g.MaxRequests = 0 }, exchanger.ReasonNotReady, false},
+		{"used up", "v2", func(_ *fixture, g *releaser.Gate) { g.MaxRequests = 0 }, exchanger.ReasonNotReady, true},
 		{"rolled back", "v2", func(_ *fixture, g *releaser.Gate) { g.RolledBack = true }, exchanger.ReasonOutOfService, true},
 		{"completed without decision", "v2", func(_ *fixture, g *releaser.Gate) { g.Completed, g.ValidUntil = true, time.Time{} }, "", false},
 		{"old version after completion", "v1", func(_ *fixture, g *releaser.Gate) { g.Completed = true }, exchanger.ReasonOutOfService, true},
@@ -154,3 +154,27 @@
 		}
 	}
 }
+
+// TestUsedUpQuotaIsReported guards against calls that go to a server of the target version which
+// refuses them, and against one that gets none after more were allowed.
+func TestUsedUpQuotaIsReported(t *testing.T) {
+	f := newFixture(t, writeSealed)
+	f.announceVersion("v2", 0)
+	f.ApplyRollout(f.gate(1, 2))
+	changes := 0
+	f.OnChange = func() { changes++ }
+	check := func(closed bool, want int) {
+		t.Helper()
+		if got := f.LoadReport().Closed; got != closed || changes != want {
+			t.Errorf("got closed %t after %d changes, want %t after %d", got, changes, closed, want)
+		}
+	}
+	f.HandleCall(t.Context(), f.newCall("a"))
+	check(false, 0)
+	f.HandleCall(t.Context(), f.newCall("b"))
+	check(true, 1)
+	f.ApplyRollout(f.gate(1, 2))
+	check(true, 1)
+	f.ApplyRollout(f.gate(1, 3))
+	check(false, 2)
+}
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -157,8 +157,9 @@
 	nodeState struct {
 		report     NodeReport
 		reportedAt time.Time
-		// idleSince is when the server became idle; zero while it is busy.
-		idleSince time.Time
+		// idleSince is when the server became idle; zero while it is busy. startedAt is when
+		// a report last showed that runs had started.
+		idleSince, startedAt time.Time
 	}
 )
 
@@ -244,6 +245,9 @@
 	if target {
 		at.addCold(difference(r.Cold, n.report.Cold))
 	}
+	if r.Started != n.report.Started {
+		n.startedAt = now
+	}
 	switch {
 	case r.Busy || r.Started != n.report.Started:
 		n.idleSince = time.Time{}
@@ -340,8 +344,9 @@
 	if now.Sub(p.stepAt) < min(step.time, p.pace.maxStepTime) {
 		return false
 	}
+	limit := step.budgetFraction * p.budget(elapsed)
 	target, _ := p.Exposure()
-	return float64(target) >= step.budgetFraction*p.budget(elapsed) || elapsed >= p.pace.latestPromotion
+	return float64(target) >= limit || p.quotaUsed(now, roundDown(limit)) || elapsed >= p.pace.latestPromotion
 }
 
 // canaryDone reports whether the target version was observed at a small share for long
--- a/internal/promoter/quota.go
+++ b/internal/promoter/quota.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 )
 
 // Quota returns the number of runs that each node of the target version may have had since the
@@ -27,3 +28,26 @@
 	}
 	return 0
 }
+
+// quotaUsed reports whether the nodes of the target version that get calls have used their quota of
+// a limit. Nodes that get none would keep the rest of the limit for long, while calls to the others
+// are refused.
+func (p *Promoter) quotaUsed(now time.Time, limit uint64) bool {
+	var started []uint64
+	for key, n := range p.nodes {
+		if key.version == p.order.TargetVersion {
+			started = append(started, n.report.Started)
+		}
+	}
+	quota, used := Quota(limit, started), false
+	for key, n := range p.nodes {
+		switch {
+		case key.version != p.order.TargetVersion:
+		case n.report.Started >= quota:
+			used = true
+		case now.Sub(n.startedAt) <= freshTime:
+			return false
+		}
+	}
+	return used
+}
