Keep the links and ticks of a rollout only until its verdict

The 64 links for each service with a rollout and the ticks every 100 ms lasted as long as the record of the order. Links now last until 5 s after the verdict, and ticks come every 500 ms after it. TestCallsMoveUntilTheVerdict guards this.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -288,6 +288,7 @@
 		},
 		Load:             n.guardian.LoadReport,
 		CallHandler:      n.guardian,
+		MovesCalls:       func(service string) bool { return n.releaser.MovesCalls(service) },
 		State:            func() director.State { return n.table.Load().State },
 		ReceiveFanOuts:   func(m linker.Member, f map[string]linker.FanOut) { n.forwarder.UpdateFanOuts(m, f) },
 		ReceiveLoad:      func(m linker.Member, l guardian.LoadReport) { n.forwarder.UpdateLoad(m, l) },
--- a/internal/director/rollouts.go
+++ b/internal/director/rollouts.go
@@ -41,13 +41,3 @@
 	same := r.Service == o.Service && r.TargetVersion == o.TargetVersion && r.Duration == o.Duration
 	return same && (r.Revision == o.Revision || r.Era != o.Era)
 }
-
-// HasRollout reports whether an order for a service is known.
-func (s *State) HasRollout(service string) bool {
-	for i := range s.Rollouts {
-		if s.Rollouts[i].Service == service {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/linker/choice.go
+++ b/internal/linker/choice.go
@@ -22,10 +22,9 @@
 	for _, k := range l.links {
 		k.wanted = false
 	}
-	state := l.handlers.State()
 	for service, names := range l.linkOrders {
 		target, most := selector.TargetLinksPerService, selector.MaxLinksPerService
-		if state.HasRollout(service) {
+		if l.handlers.MovesCalls != nil && l.handlers.MovesCalls(service) {
 			target, most = rolloutLinksPerService, rolloutLinksPerService
 		}
 		l.markWantedLinks(now, names, target, most)
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -82,6 +82,9 @@
 		CallHandler exchanger.CallHandler
 		// State returns the configuration in force.
 		State func() director.State
+		// MovesCalls reports whether calls of a service move between versions; nil if none
+		// ever do. It must not call the Linker.
+		MovesCalls func(service string) bool
 		// IsolatedSuspects returns the suspects that every node must know.
 		IsolatedSuspects func() []suspecter.Suspect
 		// ReceiveFanOuts receives the fan-outs of a node, by the route of the runs;
--- a/internal/releaser/releaser.go
+++ b/internal/releaser/releaser.go
@@ -32,6 +32,10 @@
 	finalInterval     = time.Second
 	finalTime         = 10 * time.Second
 	lateFinalInterval = 10 * time.Second
+	// settledTime is how long after the verdict calls may still move.
+	settledTime = 5 * time.Second
+	// finalTickInterval replaces tickInterval while all rollouts have a verdict.
+	finalTickInterval = finalInterval / 2
 	// withdrawalTime is how long the verdict on an order that was withdrawn is sent.
 	withdrawalTime = 5 * time.Second
 	// standbyInterval is how often a node reports to deciders that do not act.
@@ -148,6 +152,13 @@
 	return (*plans)[service]
 }
 
+// MovesCalls reports whether calls of a service move between versions: a rollout has no verdict, or
+// has had one for a few seconds. It takes no lock.
+func (r *Releaser) MovesCalls(service string) bool {
+	p := r.Plan(service)
+	return p != nil && (p.FinalAt.IsZero() || r.Clock.Now().Sub(p.FinalAt) < settledTime)
+}
+
 // Status returns the state of the rollout of this node's service for metrics: the share, the
 // number of runs on the target version as far as this node knows, and whether the rollout is
 // running (1), completed (2) or rolled back (3); 0 without one.
@@ -205,9 +216,27 @@
 			return nil
 		case <-r.changed:
 		}
-		for r.Tick(ctx) && timekeeper.Sleep(ctx, tickInterval) {
+		for r.Tick(ctx) {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-r.changed:
+			case <-time.After(r.interval()):
+			}
+		}
+	}
+}
+
+// interval returns the time until the next tick unless the orders change.
+func (r *Releaser) interval() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, o := range r.rollouts {
+		if o.final == "" {
+			return tickInterval
 		}
 	}
+	return finalTickInterval
 }
 
 // Tick sends the due reports and decisions and ends leases. It reports whether there are
--- a/internal/releaser/releaser_test.go
+++ b/internal/releaser/releaser_test.go
@@ -390,3 +390,25 @@
 	c.checkWritten("running v2", "rolled_back v2")
 	c.checkExposure("v2")
 }
+
+// TestCallsMoveUntilTheVerdict guards against links and ticks for a rollout that has ended long ago
+// but whose record is kept.
+func TestCallsMoveUntilTheVerdict(t *testing.T) {
+	c := newCluster(t)
+	n := c.nodes["caller"]
+	check := func(want bool, interval time.Duration) {
+		t.Helper()
+		if got := n.MovesCalls("shop"); got != want || n.interval() != interval {
+			t.Errorf("%s: got calls move %t and interval %s, want %t and %s", c.elapsed(), got, n.interval(), want, interval)
+		}
+	}
+	c.order("v2", testDuration)
+	check(true, tickInterval)
+	c.startTarget("v2")
+	c.runUntil(testDuration)
+	check(true, finalTickInterval)
+	c.runUntil(testDuration + settledTime)
+	check(false, finalTickInterval)
+	c.order("v3", testDuration)
+	check(true, tickInterval)
+}
--- a/internal/releaser/rollout.go
+++ b/internal/releaser/rollout.go
@@ -53,6 +53,8 @@
 		// Undecided reports whether no decision on the order is known. The node has
 		// started a short time ago then, and the rollout may have ended long before.
 		Undecided bool
+		// FinalAt is when the verdict became known; zero before.
+		FinalAt time.Time
 	}
 
 	// Gate tells which calls may run on the node's backend server. It is immutable.
@@ -287,7 +289,7 @@
 }
 
 func (o *rollout) plan(now time.Time) *Plan {
-	p := &Plan{versionRules: o.rules(), Undecided: o.final == "" && len(o.decisions) == 0}
+	p := &Plan{versionRules: o.rules(), Undecided: o.final == "" && len(o.decisions) == 0, FinalAt: o.finalAt}
 	if d := o.validDecision(now); d != nil {
 		p.Share, p.ValidUntil = d.Share, o.decisions[d.Decider].validUntil
 	}
