--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -27,7 +27,9 @@
 	"github.com/flamingotack/flamingotack/internal/listener"
 	"github.com/flamingotack/flamingotack/internal/logger"
 	"github.com/flamingotack/flamingotack/internal/meter"
+	"github.com/flamingotack/flamingotack/internal/promoter"
 	"github.com/flamingotack/flamingotack/internal/publisher"
+	"github.com/flamingotack/flamingotack/internal/releaser"
 	"github.com/flamingotack/flamingotack/internal/suspecter"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
@@ -70,6 +72,7 @@
 		Leave(ctx context.Context, self linker.Member) error
 		// SaveLearnedState stores the learned state for nodes that join later.
 		SaveLearnedState(ctx context.Context, state forwarder.LearnedState) error
+		releaser.Store
 	}
 
 	// JoinResult is what a directory returns to a node that joins.
@@ -106,6 +109,7 @@
 		guardian      *guardian.Guardian
 		linker        *linker.Linker
 		rateLimiter   *admitter.DistributedRateLimiter
+		releaser      *releaser.Releaser
 
 		table          publisher.Value[director.Table]
 		mu             sync.Mutex
@@ -159,6 +163,8 @@
 		// RateTolerance is how far customers may exceed their rates, and nodes
 		// the retries that RetryRatio allows.
 		RateTolerance admitter.RateTolerance
+		// RolloutBounds bounds the requests that a bad version of a backend server gets.
+		RolloutBounds promoter.Bounds
 	}
 )
 
@@ -170,6 +176,7 @@
 	n.rewriter = newRewriter(s.Logger.Named("rewriter"), s.Directory.Era, s.Directory.InitialEra, func() int { return len(n.linker.Peers()) + 1 }, n.rereadMembers)
 	n.rewriter.add("member record", n.rewriteMember)
 	n.rewriter.add("learned state", n.rewriteLearnedState)
+	n.rewriter.add("rollout statuses", n.rewriteRolloutStatuses)
 	callers, err := listen(s.CallerAddress)
 	if err != nil {
 		return nil, err
@@ -236,6 +243,7 @@
 	}
 	addActor(n.guardian.Run)
 	addActor(n.linker.Run)
+	addActor(n.releaser.Run)
 	addActor(func(c context.Context) error {
 		return n.settings.Directory.Watch(c, watchers{n.linker, n.table.Load}, n.applyState)
 	})
@@ -288,12 +296,26 @@
 		},
 		Load:             n.guardian.LoadReport,
 		CallHandler:      n.guardian,
+		MovesCalls:       func(service string) bool { return n.releaser.MovesCalls(service) },
 		State:            func() director.State { return n.table.Load().State },
 		ReceiveFanOuts:   func(m linker.Member, f map[string]linker.FanOut) { n.forwarder.UpdateFanOuts(m, f) },
 		ReceiveLoad:      func(m linker.Member, l guardian.LoadReport) { n.forwarder.UpdateLoad(m, l) },
 		ReceiveState:     n.applyState,
 		IsolatedSuspects: n.guardian.IsolatedSuspects,
 		ReceiveSuspects:  n.guardian.MergeSuspects,
+		ReceiveReports:   func(from string, reports []releaser.Report) { n.releaser.HandleReports(from, reports) },
+		ReceiveDecisions: func(from string, decisions []releaser.Decision) { n.releaser.HandleDecisions(from, decisions) },
+	})
+	n.releaser = releaser.New(releaser.Settings{
+		Bounds:      s.RolloutBounds,
+		Clock:       clock,
+		Links:       n.linker,
+		Logger:      s.Logger.Named("releaser"),
+		Node:        n.self.Name,
+		Incarnation: n.self.Incarnation,
+		Service:     s.Service,
+		Server:      n.guardian,
+		Store:       s.Directory,
 	})
 	n.forwarder = forwarder.New(forwarder.Settings{
 		Clock:              clock,
@@ -302,6 +324,7 @@
 		LocalHandler:       n.guardian,
 		Logger:             s.Logger.Named("forwarder"),
 		RetryRatio:         s.RetryRatio,
+		RolloutPlan:        n.releaser.Plan,
 		SpendSharedRetries: func(ctx context.Context, cost map[string]float64) bool { return n.rateLimiter.ChargeRetry(ctx, cost) },
 		Self:               n.self,
 		Table:              n.table.Load,
@@ -398,6 +421,7 @@
 	if !changed {
 		return
 	}
+	n.releaser.Apply(merged.Rollouts)
 	n.table.Publish(director.NewTable(merged))
 	n.settings.Logger.Infof("revision %d put in force: configuration version %d, failure domains out of service %v", merged.Revision, merged.Version(), merged.EvacuatedDomains)
 	if merged.Era > current.State.Era {
--- a/internal/director/order.go
+++ b/internal/director/order.go
@@ -13,6 +13,8 @@
 	// domainPartPrefix starts the name of the part that says whether a failure domain is out
 	// of service.
 	domainPartPrefix = "domain/"
+	// rolloutPartPrefix starts the name of the part that holds the rollout of a service.
+	rolloutPartPrefix = "rollout/"
 )
 
 // Position orders states, from the most to the least significant field.
@@ -27,6 +29,11 @@
 	return domainPartPrefix + domain
 }
 
+// RolloutPart returns the name of the part of a state that holds the rollout of a service.
+func RolloutPart(service string) string {
+	return rolloutPartPrefix + service
+}
+
 // Compare returns -1 if p is older than other, 1 if it is newer, and 0 if they are equal.
 func (p Position) Compare(other Position) int {
 	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Revision, other.Revision), cmp.Compare(p.PriorRevision, other.PriorRevision))
@@ -161,4 +168,11 @@
 			s.EvacuatedDomains = append(s.EvacuatedDomains, domain)
 		}
 	}
+	if service, found := strings.CutPrefix(part, rolloutPartPrefix); found {
+		of := func(r Rollout) bool { return r.Service == service }
+		s.Rollouts = slices.DeleteFunc(slices.Clone(s.Rollouts), of)
+		if i := slices.IndexFunc(from.Rollouts, of); i >= 0 {
+			s.Rollouts = append(s.Rollouts, from.Rollouts[i])
+		}
+	}
 }
--- a/internal/director/order_test.go
+++ b/internal/director/order_test.go
@@ -77,3 +77,26 @@
 		})
 	}
 }
+
+// TestMergeRollouts guards against an order that is lost, or that returns after it was withdrawn,
+// when a state of a later era arrives whose sender knew less.
+func TestMergeRollouts(t *testing.T) {
+	kept, lost := Rollout{Revision: 9, Service: "desk", TargetVersion: "v2"}, Rollout{Revision: 3, Service: "cart", TargetVersion: "v5"}
+	again := Rollout{Era: 1, Revision: 7, Service: "desk", TargetVersion: "v2"}
+	known := State{Revision: 10, Rollouts: []Rollout{kept}}
+	received := State{Era: 1, Revision: 6, PriorRevision: 6, WrittenFrom: 6, Exact: true, Rollouts: []Rollout{lost}}
+	merged, _ := Merge(known, received)
+	if !slices.Equal(merged.Rollouts, []Rollout{kept}) {
+		t.Errorf("got %v, want only the known order", merged.Rollouts)
+	}
+	received.Revision, received.Rollouts = 7, []Rollout{lost, again}
+	received.Written = map[string]uint64{RolloutPart("desk"): 6}
+	if merged, _ = Merge(merged, received); !slices.Equal(merged.Rollouts, []Rollout{again}) {
+		t.Errorf("got %v, want the order that was written again", merged.Rollouts)
+	}
+	received.Revision, received.Rollouts = 8, []Rollout{lost}
+	received.Written = map[string]uint64{RolloutPart("desk"): 7}
+	if merged, _ = Merge(merged, received); len(merged.Rollouts) != 0 {
+		t.Errorf("got %v after the deletion, want none", merged.Rollouts)
+	}
+}
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -20,6 +20,7 @@
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/guardian"
 	"github.com/flamingotack/flamingotack/internal/logger"
+	"github.com/flamingotack/flamingotack/internal/releaser"
 	"github.com/flamingotack/flamingotack/internal/selector"
 	"github.com/flamingotack/flamingotack/internal/suspecter"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
@@ -84,6 +85,9 @@
 		CallHandler exchanger.CallHandler
 		// State returns the configuration in force.
 		State func() director.State
+		// MovesCalls reports whether calls of a service move between versions; nil if none
+		// ever do. It must not call the Linker.
+		MovesCalls func(service string) bool
 		// IsolatedSuspects returns the suspects that every node must know.
 		IsolatedSuspects func() []suspecter.Suspect
 		// ReceiveFanOuts receives the fan-outs of a node, by the route of the runs;
@@ -93,6 +97,10 @@
 		ReceiveLoad func(Member, guardian.LoadReport)
 		// ReceiveState receives a configuration from another node.
 		ReceiveState func(director.State)
+		// ReceiveReports and ReceiveDecisions receive the reports and decisions on
+		// rollouts that the node from has sent.
+		ReceiveReports   func(from string, reports []releaser.Report)
+		ReceiveDecisions func(from string, decisions []releaser.Decision)
 		// ReceiveSuspects receives suspects from another node and returns those that
 		// were news.
 		ReceiveSuspects func([]suspecter.Suspect) (news []suspecter.Suspect)
