--- a/internal/director/order_test.go
+++ b/internal/director/order_test.go
@@ -84,7 +84,7 @@
 	kept, lost := Rollout{Revision: 9, Service: "desk", TargetVersion: "v2"}, Rollout{Revision: 3, Service: "cart", TargetVersion: "v5"}
 	again := Rollout{Era: 1, Revision: 7, Service: "desk", TargetVersion: "v2"}
 	known := State{Revision: 10, Rollouts: []Rollout{kept}}
-	received := State{Era: 1, Revision: 6, PriorRevision: 6, WrittenFrom: 6, Exact: true, Rollouts: []Rollout{lost}}
+	received := State{Era: 1, Revision: 6, PriorRevision: 6, WrittenFrom: 6, WrittenComplete: true, Rollouts: []Rollout{lost}}
 	merged, _ := Merge(known, received)
 	if !slices.Equal(merged.Rollouts, []Rollout{kept}) {
 		t.Errorf("got %v, want only the known order", merged.Rollouts)
