--- a/internal/gauger/gauger_test.go
+++ b/internal/gauger/gauger_test.go
@@ -96,11 +96,11 @@
 }
 
 // run simulates runs on a server that ends one every interval, up to the time end. factor
-// returns the slowdown and told the figure that the server reports.
-func run(g *Gauger, random *rand.Rand, start, end, interval time.Duration, factor func(time.Duration) float64, told func(time.Duration) int) {
+// returns the slowdown and reportedPercent returns the figure that the server reports.
+func run(g *Gauger, random *rand.Rand, start, end, interval time.Duration, factor func(time.Duration) float64, reportedPercent func(time.Duration) int) {
 	for at := start; at < end; at += interval {
 		now := epoch.Add(at)
-		g.Observe(now, Figures{Running: 1, Slots: 8, WorkPercent: told(at)})
+		g.Observe(now, Figures{Running: 1, Slots: 8, WorkPercent: reportedPercent(at)})
 		work := usualTime.Seconds() * (0.5 + random.Float64()) * factor(at)
 		g.RecordRun(now, "r", time.Duration(work*float64(time.Second)))
 	}
@@ -130,10 +130,10 @@
 // the server itself.
 func TestJudgement(t *testing.T) {
 	tests := []struct {
-		name   string
-		factor func(time.Duration) float64
-		told   func(time.Duration) int
-		want   Judgement
+		name            string
+		factor          func(time.Duration) float64
+		reportedPercent func(time.Duration) int
+		want            Judgement
 		// least and most bound the corrected figure times the learned time, relative to
 		// the true time of a run.
 		least, most float64
@@ -150,7 +150,7 @@
 			random := rand.New(rand.NewPCG(1, 2))
 			const interval, learned, tested = 5 * time.Millisecond, 10 * time.Second, 13 * time.Second
 			run(&g, random, 0, learned, interval, phases, percentOf(phases))
-			run(&g, random, learned, tested, interval, tt.factor, tt.told)
+			run(&g, random, learned, tested, interval, tt.factor, tt.reportedPercent)
 			now := epoch.Add(tested - interval)
 			if got := g.Judge(now); got != tt.want {
 				t.Errorf("got judgement %d, want %d", got, tt.want)
--- a/internal/router/uneven_test.go
+++ b/internal/router/uneven_test.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// forEachCrowd runs a test for numbers of senders and for intervals of reports in milliseconds.
-func forEachCrowd(t *testing.T, intervals []time.Duration, test func(t *testing.T, l unevenLoad)) {
+// forEachLoad runs a test for numbers of senders and for intervals of reports in milliseconds.
+func forEachLoad(t *testing.T, intervals []time.Duration, test func(t *testing.T, l unevenLoad)) {
 	for _, senders := range []int{16, 59, 300} {
 		for _, interval := range intervals {
 			t.Run(fmt.Sprintf("%d senders, %d ms", senders, interval), func(t *testing.T) {
@@ -75,10 +75,10 @@
 	for _, p := range patterns {
 		t.Run(p.name, func(t *testing.T) {
 			with, without := map[time.Duration]time.Duration{}, map[time.Duration]time.Duration{}
-			forEachCrowd(t, usualIntervals, func(t *testing.T, l unevenLoad) {
+			forEachLoad(t, usualIntervals, func(t *testing.T, l unevenLoad) {
 				l.factor, l.speed = p.factor, p.speed
 				got := l.simulate(1)
-				l.silent = true
+				l.withoutFigures = true
 				unknown := l.simulate(1)
 				t.Logf("with figures %s, without %s", got, unknown)
 				with[l.reportInterval] += got.mean + got.p95
@@ -122,10 +122,10 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			forEachCrowd(t, usualIntervals, func(t *testing.T, l unevenLoad) {
+			forEachLoad(t, usualIntervals, func(t *testing.T, l unevenLoad) {
 				l.utilization, l.factor, l.speed = 0.6/slowdown, tt.factor, tt.speed
 				got := l.simulate(1)
-				l.silent = true
+				l.withoutFigures = true
 				without := l.simulate(1)
 				total := 0
 				for _, calls := range got.calls {
@@ -147,20 +147,20 @@
 // TestUselessFiguresDoNoHarm guards against figures that are frozen, missing or false: callers
 // get answers at most a tenth later than without any figures.
 func TestUselessFiguresDoNoHarm(t *testing.T) {
-	forEachCrowd(t, usualIntervals, testUselessFigures)
+	forEachLoad(t, usualIntervals, testUselessFigures)
 }
 
 // TestUselessFiguresInOldReportsDoNoHarm guards against the same where reports are so rare that a
 // work figure is worth almost nothing for most of the time: nodes without answers to send report
 // every 1.5 s, and less often if they have many inbound links.
 func TestUselessFiguresInOldReportsDoNoHarm(t *testing.T) {
-	forEachCrowd(t, []time.Duration{1500, 3700}, testUselessFigures)
+	forEachLoad(t, []time.Duration{1500, 3700}, testUselessFigures)
 }
 
 func testUselessFigures(t *testing.T, l unevenLoad) {
 	tests := []struct {
-		name string
-		told func(server int, at time.Duration, factor float64) int
+		name            string
+		reportedPercent func(server int, at time.Duration, factor float64) int
 	}{
 		{"frozen from the start", func(server int, _ time.Duration, _ float64) int { return 80 + 20*(server%8) }},
 		{"frozen later", func(server int, at time.Duration, _ float64) int {
@@ -175,12 +175,12 @@
 		}},
 		{"slow servers report less", func(_ int, _ time.Duration, factor float64) int { return int(130 - 30*factor) }},
 	}
-	l.factor, l.silent = slowPhases, true
+	l.factor, l.withoutFigures = slowPhases, true
 	without := l.simulate(1)
-	l.silent = false
+	l.withoutFigures = false
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			l.told = tt.told
+			l.reportedPercent = tt.reportedPercent
 			got := l.simulate(1)
 			t.Logf("with figures %s, without %s", got, without)
 			if most := without.mean * 11 / 10; got.mean > most {
--- a/internal/router/unevenload_test.go
+++ b/internal/router/unevenload_test.go
@@ -24,10 +24,10 @@
 	// speed the time of the server itself relative to the others; nil stands for 1.
 	factor func(server int, at time.Duration) float64
 	speed  func(server int) float64
-	// told returns the work figure that a server reports; nil stands for the true one.
-	told func(server int, at time.Duration, factor float64) int
-	// silent keeps the work figure out of the reports.
-	silent bool
+	// reportedPercent returns the work figure that a server reports; nil stands for the true one.
+	reportedPercent func(server int, at time.Duration, factor float64) int
+	// withoutFigures keeps the work figure out of the reports.
+	withoutFigures bool
 	// request is what the senders tell the router.
 	request Request
 }
@@ -115,7 +115,7 @@
 			Incarnation: "1", Sequence: sequence, Limit: l.slots, Running: len(s.running), Queued: len(s.queue),
 			LowestAdmittedPriority: exchanger.PriorityLow, RunTime: time.Duration(s.runTime * float64(time.Second)),
 		}
-		if !l.silent {
+		if !l.withoutFigures {
 			e := s.gauger.Estimate(epoch.Add(now))
 			p.report.WorkPercent, p.report.WorkAge, p.report.OwnTime = e.WorkPercent, e.Age+l.reportDelay, e.OwnTime
 		}
@@ -134,7 +134,7 @@
 				}
 				routers[c.sender].RecordOutcome(at, all[i].Name, OutcomeAnswered, 0)
 				s.runTime += 0.1 * ((c.endsAt - c.started).Seconds() - s.runTime)
-				if !l.silent {
+				if !l.withoutFigures {
 					s.gauger.Observe(at, gauger.Figures{WorkPercent: l.toldBy(i, now)})
 					s.gauger.RecordRun(at, "route", c.endsAt-c.started)
 				}
@@ -234,10 +234,10 @@
 // toldBy returns the figure that a server reports.
 func (l *unevenLoad) toldBy(server int, now time.Duration) int {
 	factor := l.factor(server, now)
-	if l.told == nil {
+	if l.reportedPercent == nil {
 		return int(100*factor + 0.5)
 	}
-	return l.told(server, now, factor)
+	return l.reportedPercent(server, now, factor)
 }
 
 func (l *unevenLoad) speedOf(server int) float64 {
