Split the decision on a rollout into shorter functions

Cause: one function of 70 lines announced verdicts and made decisions. Change: announceVerdict and concludeOrContinue; no behavior changes. Result: go test -race ./internal/releaser passes.

--- a/internal/releaser/decider.go
+++ b/internal/releaser/decider.go
@@ -62,13 +62,7 @@
 		r.readStatus(ctx, now, o)
 	}
 	if o.final != "" {
-		if o.concludedHere || now.Sub(o.finalAt) >= othersVerdictTime {
-			r.writeStatus(ctx, now, o, o.final)
-		}
-		if now.Sub(o.finalSentAt) >= o.finalInterval(now) && (!o.withdrawn || now.Sub(o.finalAt) < withdrawalTime) {
-			o.finalSentAt = now
-			r.send(now, o, promoter.Decision{State: o.final, Share: finalShare(o.final)})
-		}
+		r.announceVerdict(ctx, now, o)
 		return
 	}
 	if !r.hasQuorum(now, o) {
@@ -86,6 +80,23 @@
 		r.readStatus(ctx, now, o)
 		return
 	}
+	r.send(now, o, r.concludeOrContinue(ctx, now, o, late))
+}
+
+// announceVerdict stores and sends the verdict on a rollout. The caller holds the lock.
+func (r *Releaser) announceVerdict(ctx context.Context, now time.Time, o *rollout) {
+	if o.concludedHere || now.Sub(o.finalAt) >= othersVerdictTime {
+		r.writeStatus(ctx, now, o, o.final)
+	}
+	if now.Sub(o.finalSentAt) >= o.finalInterval(now) && (!o.withdrawn || now.Sub(o.finalAt) < withdrawalTime) {
+		o.finalSentAt = now
+		r.send(now, o, promoter.Decision{State: o.final, Share: finalShare(o.final)})
+	}
+}
+
+// concludeOrContinue returns the next decision on a rollout and begins the calls of the store that
+// it needs. late reports whether the deadline has passed. The caller holds the lock.
+func (r *Releaser) concludeOrContinue(ctx context.Context, now time.Time, o *rollout, late bool) promoter.Decision {
 	d := o.promoter.Decide(now)
 	switch {
 	case d.State == promoter.StateRolledBack && o.mayBeCompleted():
@@ -109,7 +120,7 @@
 	if o.final == "" && o.status.written == "" {
 		r.writeStatus(ctx, now, o, promoter.StateRunning)
 	}
-	r.send(now, o, d)
+	return d
 }
 
 // mayBeCompleted reports whether StateCompleted may be stored although this node does not know it:
