Keep large parts of answers within the bound of all answers

Callers saw: nothing; a node could hold up to 1 MiB for each answer being read beyond the bound of 48 MiB.

Cause: since answers are read in growing parts, a part was counted after it was read, so concurrent parts exceeded the bound together.

Change: a part is counted before it is read, and is at most 64 KiB near the bound.

--- a/internal/invoker/response.go
+++ b/internal/invoker/response.go
@@ -193,9 +193,9 @@
 // It reserves the memory first. The reservation ends with the read, as the receiver of the
 // response reserves what it holds.
 func (c *conn) readUntilEOF(r io.Reader) (first []byte, more [][]byte, err error) {
-	readBytes, reservedBytes := int64(0), int64(0)
+	readBytes, countedBytes, reservedBytes := int64(0), int64(0), int64(0)
 	defer func() {
-		c.totalBodyBytes.Add(-readBytes)
+		c.totalBodyBytes.Add(-countedBytes)
 		c.holder.Release(reservedBytes)
 	}()
 	for {
@@ -204,6 +204,10 @@
 			// One byte more than the rest finds the end.
 			size = min(size, limited.N+1)
 		}
+		if size = c.countPart(size); size == 0 {
+			return nil, nil, errTotalTooLarge
+		}
+		countedBytes += size
 		if !accountant.ReserveWithRetry(time.Now, c.holder.ReserveAnswer, size) {
 			return nil, nil, ErrMemoryShort
 		}
@@ -212,7 +216,8 @@
 		n, err := exchanger.ReadPart(r, part)
 		part = part[:n]
 		readBytes += int64(n)
-		total := c.totalBodyBytes.Add(int64(n))
+		c.totalBodyBytes.Add(int64(n) - size)
+		countedBytes += int64(n) - size
 		ended := errors.Is(err, io.EOF)
 		if ended && int64(cap(part)-n) > readBytes/partShareDivisor {
 			part = bytes.Clone(part)
@@ -229,8 +234,24 @@
 			return nil, nil, err
 		case readBytes > maxBodyBytes:
 			return nil, nil, errBodyTooLarge
-		case total > maxTotalBodyBytes:
-			return nil, nil, errTotalTooLarge
+		}
+	}
+}
+
+// countPart adds a part that is about to be read to the bytes of all bodies and returns its
+// size: at most bodyChunkBytes near the bound, so that concurrent large parts do not exceed it,
+// and 0 beyond it.
+func (c *conn) countPart(size int64) int64 {
+	for {
+		total := c.totalBodyBytes.Load()
+		if total > maxTotalBodyBytes {
+			return 0
+		}
+		if total+size > maxTotalBodyBytes {
+			size = min(size, bodyChunkBytes)
+		}
+		if c.totalBodyBytes.CompareAndSwap(total, total+size) {
+			return size
 		}
 	}
 }
--- a/internal/invoker/response_test.go
+++ b/internal/invoker/response_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -129,3 +130,20 @@
 		}
 	}
 }
+
+// TestLargePartsStayWithinTotal guards against bodies that exceed the bound of all of them
+// because each counts a large part after it was read.
+func TestLargePartsStayWithinTotal(t *testing.T) {
+	total := &atomic.Int64{}
+	total.Store(maxTotalBodyBytes - 1)
+	c := &conn{totalBodyBytes: total}
+	if got := c.countPart(1 << 20); got != bodyChunkBytes {
+		t.Errorf("got a part of %d bytes near the bound, want %d", got, bodyChunkBytes)
+	}
+	if got := c.countPart(1 << 20); got != 0 {
+		t.Errorf("got a part of %d bytes beyond the bound, want none", got)
+	}
+	if got, want := total.Load(), int64(maxTotalBodyBytes-1+bodyChunkBytes); got != want {
+		t.Errorf("got %d bytes counted, want %d", got, want)
+	}
+}
