--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,7 +21,8 @@
 
 // trials are the trials by name. Each reports whether the rule held.
 var trials = map[string]func(rec *recorder, root string, trouble bool) (held bool, err error){
-	"quota": tryQuota,
+	"failback": tryFailback,
+	"quota":    tryQuota,
 }
 
 func main() {
