--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -175,6 +176,23 @@
 	<-n.exited
 }
 
+// metric returns the value of a metric of the process, as text; empty if it has none.
+func (n *node) metric(name string) string {
+	response, err := http.Get(n.metrics())
+	if err != nil {
+		return ""
+	}
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if strings.HasPrefix(lines.Text(), name) {
+			fields := strings.Fields(lines.Text())
+			return fields[len(fields)-1]
+		}
+	}
+	return ""
+}
+
 // isReady reports whether the node answers 200 at its ready address.
 func (n *node) isReady() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -53,6 +53,8 @@
 		onRun func(s *server, r *http.Request)
 		// heartbeatDelay returns how late the heartbeat that is sent at a time arrives.
 		heartbeatDelay func() time.Duration
+		// handler, if set, answers the requests in place of the server.
+		handler http.Handler
 
 		httpServer *http.Server
 		coldUntil  atomic.Pointer[time.Time]
@@ -73,7 +75,10 @@
 	}
 	s.bornAt = time.Now()
 	s.slot = make(chan struct{}, s.slots)
-	s.httpServer = &http.Server{Handler: s, IdleTimeout: 10 * time.Second}
+	if s.handler == nil {
+		s.handler = s
+	}
+	s.httpServer = &http.Server{Handler: s.handler, IdleTimeout: 10 * time.Second}
 	go func() { _ = s.httpServer.Serve(listener) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop = cancel
