Show that a planned stop cuts requests to anonymous routes that have run

Cause: a request without a key counts as a call of the local backend server, which a stopping node accepts until it closes its listener, 0.3 s before it ends.

--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -40,6 +40,8 @@
 		dir      string
 		ports    ports
 		network  string
+		// anonymous says that the route needs no key.
+		anonymous bool
 	}
 
 	// tenant is a customer in the configuration.
@@ -128,7 +130,7 @@
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
 		"tenants": tenants,
 		"listeners": []any{map[string]any{"host": routeHost, "rules": []any{map[string]any{
-			"name": "r-1", "routeType": kind, "targetLatency": "2000ms", "priority": 2, "anonymous": false,
+			"name": "r-1", "routeType": kind, "targetLatency": "2000ms", "priority": 2, "anonymous": d.anonymous,
 			"match":  map[string]string{"pathPrefix": routePath},
 			"action": map[string]any{"service": service, "timeout": "6000ms", "maxAttempts": 2},
 		}}}},
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 	"failback": tryFailback,
 	"leak":     tryLeak,
 	"quota":    tryQuota,
+	"stop":     tryStop,
 }
 
 func main() {
