--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 
 // trials are the trials by name. Each reports whether the rule held.
 var trials = map[string]func(rec *recorder, root string, trouble bool) (held bool, err error){
+	"crash":    tryCrash,
 	"failback": tryFailback,
 	"leak":     tryLeak,
 	"quota":    tryQuota,
