--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -25,12 +25,12 @@
 	restartDelay    = 500 * time.Millisecond
 )
 
-// crashLog counts the times at which the crash request has reached a server.
+// crashLog keeps when attempts of the crash request have reached a server.
 type crashLog struct {
 	recorder *recorder
 
 	mu sync.Mutex
-	// reached holds those times by the id of the attempt.
+	// reached holds those times by the id of the attempt, order the ids in order of them.
 	reached map[string]time.Duration
 	order   []string
 	// starts counts the starts of servers, for their ids.
@@ -49,8 +49,9 @@
 	l.reached[id] = at
 }
 
-// retriesAfter returns the number of attempts that were sent later than a time and have reached a
-// server, and whether enough have before.
+// retriesAfter returns the number of attempts that were sent later than contact after the third
+// crash and have reached a server, and when that crash was; zeros if there were fewer crashes.
+// sentAt holds when each attempt was sent.
 func (l *crashLog) retriesAfter(sentAt map[string]time.Duration, contact time.Duration) (retries int, thirdAt time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -123,7 +123,8 @@
 	return nil
 }
 
-// publish writes a configuration with one route to one service, which may be repeated.
+// publish writes a configuration with one route to one service. kind is the routeType, warmupPerSecond
+// the number of requests that a cold server bears, 0 for no limit.
 func (d *deployment) publish(version int, service, kind string, warmupPerSecond float64, tenants []tenant) error {
 	config := map[string]any{
 		"version": version,
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -44,7 +44,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	defer rec.close()
+	defer func() { _ = rec.close() }()
 	exitOnSignal(rec)
 	held, err := trials[args[0]](rec, args[1], os.Getenv("TROUBLE") != "0")
 	switch {
--- a/review/standin/quota.go
+++ b/review/standin/quota.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 )
@@ -153,12 +152,3 @@
 	}
 	return most, from
 }
-
-// sortedStarts returns the times at which runs began, in order.
-func sortedStarts(runs []run) (starts []time.Duration) {
-	for _, r := range runs {
-		starts = append(starts, r.began)
-	}
-	slices.Sort(starts)
-	return starts
-}
--- a/review/standin/recorder.go
+++ b/review/standin/recorder.go
@@ -38,7 +38,7 @@
 func (r *recorder) notef(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.writer, "%9.3f s  %s\n", r.since().Seconds(), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(r.writer, "%9.3f s  %s\n", r.since().Seconds(), fmt.Sprintf(format, args...))
 }
 
 // sayf records an event and prints it.
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -16,11 +16,12 @@
 	stopWork      = 880 * time.Millisecond
 	graceTime     = 6 * time.Second
 	// lateRequests are those that were sent later than this after the SIGTERM.
-	lateRequests  = 3 * time.Second
-	beforeStop    = 3 * time.Second
-	afterStop     = graceTime + time.Second
-	afterRestart  = 3 * time.Second
-	unansweredEnd = 7 * time.Second
+	lateRequests = 3 * time.Second
+	beforeStop   = 3 * time.Second
+	afterStop    = graceTime + time.Second
+	afterRestart = 3 * time.Second
+	// lastAnswers is how long the last requests may take.
+	lastAnswers = 7 * time.Second
 )
 
 // tryStop plays the trial and reports whether the rule held.
@@ -96,7 +97,7 @@
 	}
 	time.Sleep(afterRestart)
 	cancel()
-	time.Sleep(unansweredEnd)
+	time.Sleep(lastAnswers)
 	mu.Lock()
 	defer mu.Unlock()
 	lost := 0
