--- a/review/standin/leak.go
+++ b/review/standin/leak.go
@@ -18,19 +18,26 @@
 	vaultService = "gowu98c"
 	leakMachines = 10
 	// largeDownloads answers of largeBytes are on their way when the machine stands still, in
-	// each of the rounds.
+	// each of the rounds. There are further rounds until the other machine holds
+	// heldEnough bytes without any request.
 	largeDownloads = 11
-	freezeRounds   = 3
-	largeBytes     = 4 << 20
-	freezeAfter    = 10 * time.Millisecond
-	freezeTime     = 2500 * time.Millisecond
+	maxRounds      = 6
+	heldEnough     = 100e6
+	// roundsWithoutTrouble is the number of rounds without the disruption.
+	roundsWithoutTrouble = 3
+	largeBytes           = 4 << 20
+	// The machine stands still once the other one holds answersBegun bytes, or after
+	// longestTransfer.
+	answersBegun    = 4e6
+	longestTransfer = 500 * time.Millisecond
+	freezeTime      = 2500 * time.Millisecond
 	// contactTime is how long a machine without disruption is not counted after one elsewhere.
 	contactTime = 3 * time.Second
 	// laterClients clients download answers of laterBytes each, one after the other.
 	laterClients  = 40
 	laterBytes    = 1 << 20
 	laterPause    = 50 * time.Millisecond
-	laterTime     = 60 * time.Second
+	laterTime     = 50 * time.Second
 	lostAllowed   = 3
 	sizeParameter = "?size="
 )
@@ -151,17 +158,21 @@
 		return false, err
 	}
 	front, frozen := d.machines[0].node, d.machines[1].node
-	for range freezeRounds {
-		if err := playFreeze(rec, v, front, frozen, request(largeBytes), trouble); err != nil {
+	for round := 1; round <= maxRounds; round++ {
+		heldBytes, err := playFreeze(rec, v, front, frozen, request(largeBytes), trouble)
+		if err != nil {
 			return false, err
 		}
+		if heldBytes >= heldEnough || !trouble && round == roundsWithoutTrouble {
+			break
+		}
 		time.Sleep(time.Second)
 		if err := d.awaitServed(request(1000)); err != nil {
 			return false, err
 		}
 	}
 	time.Sleep(contactTime + time.Second)
-	rec.sayf("memory held on %s without any request: %s", front.name, front.metric("flamingotack_memory_held"))
+	rec.sayf("%s holds %.0f bytes without any request", front.name, front.heldBytes())
 	ctx, cancel := context.WithTimeout(context.Background(), laterTime)
 	defer cancel()
 	lost, answers := playDownloads(ctx, rec, v, front, request(laterBytes))
@@ -171,8 +182,9 @@
 }
 
 // playFreeze makes a node stand still while the server beside it sends large answers to clients of
-// another node. Without trouble, the node goes on.
-func playFreeze(rec *recorder, v *vault, front, frozen *node, r *clientRequest, trouble bool) error {
+// another node, and returns the bytes that the other node holds when all of them have ended. Without
+// trouble, the node goes on.
+func playFreeze(rec *recorder, v *vault, front, frozen *node, r *clientRequest, trouble bool) (heldBytes float64, err error) {
 	rec.sayf("%d clients of %s download %d bytes each from the server beside %s", largeDownloads, front.name, largeBytes, frozen.name)
 	allReady := v.round()
 	var (
@@ -192,10 +204,12 @@
 	select {
 	case <-allReady:
 	case <-time.After(5 * time.Second):
-		return errors.New("the large downloads have not all begun")
+		return 0, errors.New("the large downloads have not all begun")
 	}
 	if trouble {
-		time.Sleep(freezeAfter)
+		for readyAt := time.Now(); front.heldBytes() < answersBegun && time.Since(readyAt) < longestTransfer; {
+			time.Sleep(time.Millisecond)
+		}
 		frozen.signal(syscall.SIGSTOP)
 		rec.sayf("%s stands still", frozen.name)
 		time.Sleep(freezeTime)
@@ -203,8 +217,15 @@
 		rec.sayf("%s goes on", frozen.name)
 	}
 	downloads.Wait()
-	rec.sayf("the large downloads ended with %v; memory held on %s: %s", answers, front.name, front.metric("flamingotack_memory_held"))
-	return nil
+	heldBytes = front.heldBytes()
+	rec.sayf("the large downloads ended with %v; %s holds %.0f bytes", answers, front.name, heldBytes)
+	return heldBytes, nil
+}
+
+// heldBytes returns the memory that requests and answers hold on the node, in bytes.
+func (n *node) heldBytes() float64 {
+	held, _ := strconv.ParseFloat(n.metric("flamingotack_memory_held"), 64)
+	return held
 }
 
 // playDownloads makes clients send a request again and again until ctx ends. It returns the number of
