--- a/review/standin/leak.go
+++ b/review/standin/leak.go
@@ -22,7 +22,7 @@
 	// heldEnough bytes without any request.
 	largeDownloads = 11
 	maxRounds      = 6
-	heldEnough     = 100e6
+	heldEnough     = 125e6
 	// roundsWithoutTrouble is the number of rounds without the disruption.
 	roundsWithoutTrouble = 3
 	largeBytes           = 4 << 20
@@ -34,10 +34,10 @@
 	// contactTime is how long a machine without disruption is not counted after one elsewhere.
 	contactTime = 3 * time.Second
 	// laterClients clients download answers of laterBytes each, one after the other.
-	laterClients  = 40
+	laterClients  = 60
 	laterBytes    = 1 << 20
 	laterPause    = 50 * time.Millisecond
-	laterTime     = 50 * time.Second
+	laterTime     = 45 * time.Second
 	lostAllowed   = 3
 	sizeParameter = "?size="
 )
