--- a/review/standin/quota.go
+++ b/review/standin/quota.go
@@ -12,7 +12,7 @@
 const (
 	quotaService      = "dele69a"
 	firstMachines     = 12
-	addedMachines     = 4
+	addedMachines     = 3
 	quotaRate         = 40.0
 	quotaBurst        = 40.0
 	usualPerSecond    = quotaRate / 1.6
@@ -23,8 +23,14 @@
 	outageTime        = 4500 * time.Millisecond
 	quotaWarmPerS     = 50.0
 	memberTopic       = "keyed.members"
-	quotaBeforeOutage = 9 * time.Second
-	quotaAfterOutage  = 4 * time.Second
+	quotaBeforeOutage = 6 * time.Second
+	// hotTime is how long the tenant sends more than usual, from hotBeforeOutage before the
+	// outage on.
+	hotTime         = 6500 * time.Millisecond
+	hotBeforeOutage = 500 * time.Millisecond
+	// addGap is the time between two machines that are added.
+	addGap           = 500 * time.Millisecond
+	quotaAfterOutage = 4 * time.Second
 )
 
 // run is a run of a request on a server.
@@ -81,11 +87,13 @@
 	if err := d.awaitServed(&warmRequest); err != nil {
 		return false, err
 	}
-	rec.sayf("%d machines serve; tenant pulo780 sends %g times its usual %g requests a second, its limit is %g with a burst of %g", firstMachines, hotFactor, usualPerSecond, quotaRate, quotaBurst)
+	rec.sayf("%d machines serve; tenant pulo780 sends its usual %g requests a second, its limit is %g with a burst of %g", firstMachines, usualPerSecond, quotaRate, quotaBurst)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	perMachine := hotFactor * usualPerSecond / (firstMachines + addedMachines)
-	sendThrough := func(m *machine) {
+	perMachine := usualPerSecond / (firstMachines + addedMachines)
+	hotCtx, cancelHot := context.WithCancel(ctx)
+	defer cancelHot()
+	sendThrough := func(ctx context.Context, m *machine, perMachine float64) {
 		sendSteadily(ctx, rec, m.node.outbound(), perMachine, request, func(a clientAnswer) {
 			rec.notef("%s, sent at %.3f s through %s, ends with status %d, error %v", a.id, a.sentAt.Seconds(), m.node.name, a.status, a.err)
 			mu.Lock()
@@ -95,12 +103,19 @@
 		})
 	}
 	for _, m := range d.machines {
-		go sendThrough(m)
+		go sendThrough(ctx, m, perMachine)
 	}
 	time.Sleep(quotaBeforeOutage)
+	rec.sayf("tenant pulo780 sends %g times its usual for %s", hotFactor, hotTime)
+	time.AfterFunc(hotTime, cancelHot)
+	for _, m := range d.machines {
+		go sendThrough(hotCtx, m, (hotFactor-1)*perMachine)
+	}
+	time.Sleep(hotBeforeOutage)
+	outageEnd := time.Now().Add(outageTime)
 	if trouble {
 		d.store.setDown(memberTopic)
-		rec.sayf("the store answers 503 for the partition of %s, and serves the others", memberTopic)
+		rec.sayf("the store resets the connections of calls to the partition of %s, and serves the others", memberTopic)
 	}
 	for range addedMachines {
 		m, err := add(3 * time.Second)
@@ -112,10 +127,12 @@
 				time.Sleep(50 * time.Millisecond)
 			}
 			rec.sayf("%s was added and is ready", m.node.name)
-			sendThrough(m)
+			go sendThrough(hotCtx, m, (hotFactor-1)*perMachine)
+			sendThrough(ctx, m, perMachine)
 		}()
+		time.Sleep(addGap)
 	}
-	time.Sleep(outageTime)
+	time.Sleep(time.Until(outageEnd))
 	d.store.setDown()
 	rec.sayf("the store serves all partitions")
 	time.Sleep(quotaAfterOutage)
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -32,8 +32,8 @@
 	store struct {
 		address string
 		server  *http.Server
-		// refused, if set, reports whether the partition of a topic is down: its calls get
-		// 503, which says that nothing was done.
+		// refused, if set, reports whether the partition of a topic is down: the connections
+		// of its calls are reset, and nothing is done.
 		refused atomic.Pointer[func(topic string) bool]
 
 		mu     sync.Mutex
@@ -72,7 +72,7 @@
 	_ = s.server.Close()
 }
 
-// setDown makes the partitions of topics answer 503; an empty list brings all back.
+// setDown takes the partitions of topics down; an empty list brings all back.
 func (s *store) setDown(topics ...string) {
 	refused := func(name string) bool { return slices.Contains(topics, name) }
 	s.refused.Store(&refused)
@@ -89,7 +89,7 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	name := r.URL.Query().Get("topic")
 	if refused := s.refused.Load(); refused != nil && (*refused)(name) {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		resetConnection(w)
 		return
 	}
 	switch r.URL.Path {
@@ -206,3 +206,15 @@
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = io.WriteString(w, text.String())
 }
+
+// resetConnection resets the connection of a call.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
