Bound the memory of body parts that no garbage collection has freed yet

What callers saw: a node beyond the memory of its instance, which the platform ends, with all requests on it. Callers who fill the memory, leave and come again do it, also those who finish. Cause: the account grants released bytes again at once, but the arrays that held them stay until the next collection, and answers are held by nobody for a moment between the reader and the sender. Under many processors callers fill the memory faster than the collector frees it. Change: parts of 16 KiB or more count from their allocation until a cleanup shows that a collection has freed them. They may occupy 1.25 of the account; beyond that their allocation runs a collection and waits at most 100 ms, and a link reads no further. Smaller parts cost nothing.

--- a/internal/acceptor/memory.go
+++ b/internal/acceptor/memory.go
@@ -77,6 +77,18 @@
 	return errMemoryShort
 }
 
+// allocate reserves and allocates a part of the request that is being read.
+func (c *conn) allocate(size int64) (part []byte, err error) {
+	if err := c.reserve(size); err != nil {
+		return nil, err
+	}
+	part, allocated := c.holder.AllocatePart(size)
+	if !allocated {
+		return nil, errMemoryShort
+	}
+	return part, nil
+}
+
 // release gives back memory of the request that is being read.
 func (c *conn) release(size int64) {
 	c.requestBytes -= size
--- a/internal/acceptor/requestreader.go
+++ b/internal/acceptor/requestreader.go
@@ -139,10 +139,10 @@
 // readFirst reads up to wholeBodyBytes of a body of unknown length into one array that grows.
 func (b *bodyReader) readFirst() (ended bool, err error) {
 	size := int64(firstChunkedBytes)
-	if err := b.conn.reserve(size); err != nil {
+	if b.first, err = b.conn.allocate(size); err != nil {
 		return false, err
 	}
-	b.first = make([]byte, 0, size)
+	b.first = b.first[:0]
 	for {
 		n, err := exchanger.ReadPart(b.body, b.first[len(b.first):cap(b.first)])
 		b.first = b.first[:len(b.first)+n]
@@ -154,11 +154,14 @@
 		if err != nil || size >= wholeBodyBytes {
 			return false, err
 		}
-		if err := b.conn.reserve(size * (chunkedGrowth - 1)); err != nil {
+		// The array takes the place of the one before, which is a fraction of it.
+		b.conn.release(size)
+		size *= chunkedGrowth
+		grown, err := b.conn.allocate(size)
+		if err != nil {
 			return false, err
 		}
-		size *= chunkedGrowth
-		b.first = append(make([]byte, 0, size), b.first...)
+		b.first = append(grown[:0], b.first...)
 	}
 }
 
@@ -186,17 +189,14 @@
 		return part
 	}
 	b.conn.release(unused)
-	trimmed := make([]byte, len(part))
-	copy(trimmed, part)
-	return trimmed
+	return b.conn.holder.ClonePart(part)
 }
 
 // readPart reserves, allocates and reads one part.
 func (b *bodyReader) readPart(size int64) (part []byte, err error) {
-	if err := b.conn.reserve(size); err != nil {
+	if part, err = b.conn.allocate(size); err != nil {
 		return nil, err
 	}
-	part = make([]byte, size)
 	n, err := exchanger.ReadPart(b.body, part)
 	return part[:n], err
 }
--- a/internal/accountant/account.go
+++ b/internal/accountant/account.go
@@ -54,6 +54,7 @@
 		sizeBytes, smallShareBytes int64
 		usedBytes                  atomic.Int64
 		evictions, refusals        atomic.Int64
+		parts                      partMemory
 
 		mu      sync.Mutex
 		holders map[*Holder]struct{}
@@ -93,7 +94,12 @@
 
 // New returns an account of the given size in bytes.
 func New(sizeBytes int64) *Account {
-	return &Account{sizeBytes: sizeBytes, smallShareBytes: sizeBytes / smallShareDivisor, holders: map[*Holder]struct{}{}}
+	return &Account{
+		sizeBytes:       sizeBytes,
+		smallShareBytes: sizeBytes / smallShareDivisor,
+		parts:           partMemory{limitBytes: sizeBytes + sizeBytes/garbageShareDivisor},
+		holders:         map[*Holder]struct{}{},
+	}
 }
 
 // Evictions returns the number of holders that were evicted.
--- /dev/null
+++ b/internal/accountant/parts.go
@@ -0,0 +1,138 @@
+package accountant
+
+import (
+	"runtime"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// garbageShareDivisor determines how much memory parts may occupy that nobody holds any
+	// more: the size of the account divided by it.
+	garbageShareDivisor = 4
+	// minPartBytes is the size from which arrays are counted. Smaller ones are left to the
+	// pace of the garbage collector.
+	minPartBytes = 16 << 10
+	// minCollectionInterval is the minimum time from the end of a garbage collection to the
+	// next one that is run for parts, as collections free nothing while all parts are held.
+	minCollectionInterval = 10 * time.Millisecond
+)
+
+// partMemory is the memory that the parts of bodies occupy, from their allocation until a garbage
+// collection has freed them. Released bytes of an account may be allocated again at once, while
+// the arrays that held them are still there. So callers that come and go would let the memory
+// grow faster than the garbage collector frees it.
+type partMemory struct {
+	// limitBytes is at least the size of the account.
+	limitBytes    int64
+	occupiedBytes atomic.Int64
+	// collecting is set while a waiting goroutine runs a garbage collection. collectedAt is
+	// when the last one ended, in nanoseconds since processStart.
+	collecting  atomic.Bool
+	collectedAt atomic.Int64
+	collections atomic.Int64
+}
+
+// PartBytes returns the memory in bytes that parts of bodies occupy, those included that no
+// garbage collection has freed yet.
+func (a *Account) PartBytes() int64 {
+	if a == nil {
+		return 0
+	}
+	return a.parts.occupiedBytes.Load()
+}
+
+// Collections returns the number of garbage collections that were run because parts that nobody
+// holds any more occupied too much memory.
+func (a *Account) Collections() int64 {
+	if a == nil {
+		return 0
+	}
+	return a.parts.collections.Load()
+}
+
+// AddPart counts a part that was allocated elsewhere, and waits at most 100 ms until the parts
+// occupy no more memory than they may.
+func (a *Account) AddPart(part []byte) {
+	if a == nil || cap(part) < minPartBytes {
+		return
+	}
+	a.parts.occupiedBytes.Add(int64(cap(part)))
+	a.parts.freeWithGarbage(part)
+	a.parts.awaitRoom(func() bool { return a.parts.occupiedBytes.Load() <= a.parts.limitBytes })
+}
+
+// AllocatePart allocates a part of a body. It waits at most 100 ms for a garbage collection if
+// parts occupy too much memory, and reports whether there is enough then. The holder must have
+// reserved the bytes.
+func (h *Holder) AllocatePart(size int64) (part []byte, allocated bool) {
+	if h.account == nil || size < minPartBytes {
+		return make([]byte, size), true
+	}
+	m := &h.account.parts
+	if !m.awaitRoom(func() bool { return m.occupy(size) }) {
+		h.account.refusals.Add(1)
+		return nil, false
+	}
+	part = make([]byte, size)
+	m.freeWithGarbage(part)
+	return part, true
+}
+
+// ClonePart returns a copy of a part that has no unused capacity.
+func (h *Holder) ClonePart(part []byte) (clone []byte) {
+	clone = make([]byte, len(part))
+	copy(clone, part)
+	if h.account != nil && cap(clone) >= minPartBytes {
+		h.account.parts.occupiedBytes.Add(int64(cap(clone)))
+		h.account.parts.freeWithGarbage(clone)
+	}
+	return clone
+}
+
+// occupy counts a part that is about to be allocated, and reports whether there is enough memory
+// for it.
+func (m *partMemory) occupy(size int64) bool {
+	for {
+		occupied := m.occupiedBytes.Load()
+		if occupied+size > m.limitBytes {
+			return false
+		}
+		if m.occupiedBytes.CompareAndSwap(occupied, occupied+size) {
+			return true
+		}
+	}
+}
+
+// freeWithGarbage subtracts the size of a part once a garbage collection has freed it.
+func (m *partMemory) freeWithGarbage(part []byte) {
+	runtime.AddCleanup(&part[:1][0], func(size int64) { m.occupiedBytes.Add(-size) }, int64(cap(part)))
+}
+
+// awaitRoom runs garbage collections until hasRoom returns true, for at most about 100 ms, and
+// returns its last result. Of several goroutines that wait, one runs the collection.
+func (m *partMemory) awaitRoom(hasRoom func() bool) bool {
+	for range maxReserveRetries {
+		if hasRoom() {
+			return true
+		}
+		m.collect()
+		// The cleanups that subtract the freed parts run in the background.
+		time.Sleep(reserveRetryDelay)
+	}
+	return hasRoom()
+}
+
+// collect runs a garbage collection, unless another goroutine does or one has just ended.
+func (m *partMemory) collect() {
+	if !m.collecting.CompareAndSwap(false, true) {
+		return
+	}
+	defer m.collecting.Store(false)
+	if m.collections.Load() > 0 && monotonicNanos(time.Now())-m.collectedAt.Load() < int64(minCollectionInterval) {
+		return
+	}
+	runtime.GC()
+	m.collectedAt.Store(monotonicNanos(time.Now()))
+	m.collections.Add(1)
+}
--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -17,6 +17,7 @@
 		{"flamingotack.connections.dropped", "Connections of callers that were closed to make room.", n.acceptor.DroppedConnections.Load},
 		{"flamingotack.connections.failed", "Connections of callers that could not be accepted.", n.acceptor.AcceptFailures.Load},
 		{"flamingotack.memory.evicted", "Connections of callers that were evicted as memory was short and no data had arrived for long.", n.account.Evictions},
+		{"flamingotack.memory.collections", "Garbage collections that were run as parts of bodies that nobody held any more occupied too much memory.", n.account.Collections},
 		{"flamingotack.memory.transit", "Calls of other nodes and answers to them that ended as memory was short.", n.linker.RefusedForMemory.Load},
 		{"flamingotack.memory.refused", "Requests of callers that were refused as memory was short.", n.acceptor.MemoryRefusals.Load},
 		{"flamingotack.memory.unread", "Connections of callers that were closed with answers to send as memory was short.", n.acceptor.DroppedResponses.Load},
@@ -37,6 +38,7 @@
 		value             func() int64
 	}{
 		{"flamingotack.memory.held", "Memory in bytes that requests and answers hold.", n.account.UsedBytes},
+		{"flamingotack.memory.parts", "Memory in bytes that parts of bodies occupy, those included that no garbage collection has freed yet.", n.account.PartBytes},
 		{"flamingotack.connections.open", "Connections of callers.", func() int64 { return int64(n.acceptor.OpenConnections()) }},
 		{"flamingotack.config.omitted", "Customers, routes and services that the configuration in force leaves out as invalid.", func() int64 { return int64(n.table.Load().Omitted().Total()) }},
 		{"flamingotack.era", "Era of the directory from which the configuration in force was read.", func() int64 { return int64(n.table.Load().State.Era) }},
--- a/internal/invoker/response.go
+++ b/internal/invoker/response.go
@@ -1,7 +1,6 @@
 package invoker
 
 import (
-	"bytes"
 	"io"
 	"math"
 	"net"
@@ -212,7 +211,10 @@
 			return nil, nil, ErrMemoryShort
 		}
 		reservedBytes += size
-		part := make([]byte, size)
+		part, allocated := c.holder.AllocatePart(size)
+		if !allocated {
+			return nil, nil, ErrMemoryShort
+		}
 		n, err := exchanger.ReadPart(r, part)
 		part = part[:n]
 		readBytes += int64(n)
@@ -220,7 +222,7 @@
 		countedBytes += int64(n) - size
 		ended := errors.Is(err, io.EOF)
 		if ended && int64(cap(part)-n) > readBytes/partShareDivisor {
-			part = bytes.Clone(part)
+			part = c.holder.ClonePart(part)
 		}
 		if first == nil {
 			first = part
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -168,6 +168,7 @@
 	}
 	s := newSession(k.linker.clock, stream, func() { netConn.Close() })
 	s.handleUnsent = k.refuseUnsent
+	s.account = k.linker.account
 	s.enqueue(k.linker.currentNewsFrame())
 	k.activate(s)
 	k.linker.logger.Infof("link to node %s established", k.member.Name)
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -96,6 +96,7 @@
 	}
 	t.linker.account.Register(&s.outgoing, nil)
 	s.handleUnsent = r.refuseUnsent
+	s.account = t.linker.account
 	go s.writeFrames()
 	s.readFrames(r.handleFrame)
 	s.close()
--- a/internal/linker/session.go
+++ b/internal/linker/session.go
@@ -36,6 +36,8 @@
 		closeTransport func()
 		// handleUnsent, if set, is called for each frame that can't be encoded.
 		handleUnsent func(f *framer.Frame, err error)
+		// account, if set, counts the parts of bodies that are received.
+		account *accountant.Account
 		// wake signals that frames are queued. It is closed with the session.
 		wake chan struct{}
 		// lastReceivedNanos is the time from startedAt to the last received batch.
@@ -212,11 +214,20 @@
 				s.enqueue(&framer.Frame{Pong: true})
 				continue
 			}
+			s.countPart(f)
 			handle(f)
 		}
 	}
 }
 
+// countPart counts the part of a body in a received frame, also if nothing waits for it. While
+// parts occupy too much memory, it delays the read of further frames.
+func (s *session) countPart(f *framer.Frame) {
+	for _, part := range [][]byte{f.GetRun().GetBody(), f.GetReply().GetBody(), f.GetData()} {
+		s.account.AddPart(part)
+	}
+}
+
 // writeFrames sends queued frames until the session ends.
 func (s *session) writeFrames() {
 	for range s.wake {
