Bound the memory of a node whose settings do not name it

What callers saw: a process without any bound on memory, where the settings lack limits.memoryMb. Cause: the size of the memory account comes from that setting alone, and without it there was no account and no limit of the runtime. The in-process API keeps its meaning: 0 is no account.

--- a/internal/accountant/size.go
+++ b/internal/accountant/size.go
@@ -38,6 +38,12 @@
 	return max(minSizeBytes, int64(accountFraction*float64(instanceBytes)))
 }
 
+// InstanceBytes returns the memory in bytes of an instance on which the Go runtime has the given
+// memory limit.
+func InstanceBytes(runtimeLimitBytes int64) int64 {
+	return int64(float64(runtimeLimitBytes) / runtimeLimitFraction)
+}
+
 // RuntimeLimitBytes returns the memory limit of the Go runtime on an instance with the given
 // memory in bytes.
 func RuntimeLimitBytes(instanceBytes int64) int64 {
