Release partial replies when a link goes silent

What callers saw: once a node had stood still while it sent large answers, others closed kept connections without an answer, as most of their memory was held without any request. Cause: a session that is retired because the other node is silent deleted its exchanges without releasing what was reserved for the rest of their replies. Each end of an exchange did so in lines of its own; three of five also left the parts of the request in the queue. Change: removeExchange, used by all ends of an exchange.

--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -204,8 +204,7 @@
 			continue
 		}
 		failed++
-		delete(k.pending, number)
-		e.body.release()
+		k.removeExchange(number, e)
 		refusal := k.silentRefusal()
 		if unsent[number] {
 			refusal = unreachableRefusal(k.member.Name)
@@ -220,12 +219,22 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if e := k.pending[number]; e != nil {
-		delete(k.pending, number)
-		e.body.release()
+		k.removeExchange(number, e)
 		k.closeRetiredIfIdle(e.session)
 	}
 }
 
+// removeExchange removes an exchange that ends, for whatever reason. It releases the memory of a
+// partial reply, as the receiver of a whole one reserves what it holds, and drops the parts of
+// the request that are still queued. The caller holds the lock.
+func (k *link) removeExchange(number uint64, e *exchange) {
+	delete(k.pending, number)
+	e.body.release()
+	if e.hasDataFrames {
+		e.session.dropData(number)
+	}
+}
+
 // directoryReachable reports whether the node is connected and has reported the directory as
 // reachable within directoryReachableLifetime.
 func (k *link) directoryReachable(now time.Time) bool {
@@ -298,9 +307,6 @@
 	if e.session.withdraw(number) {
 		return nil, unsentRefusal(ctx, k.member.Name)
 	}
-	if e.hasDataFrames {
-		e.session.dropData(number)
-	}
 	e.session.enqueue(&framer.Frame{Number: number, Cancel: true})
 	if ctx.Err() != nil {
 		return nil, exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonCanceled, "the request was canceled while it ran")
@@ -386,12 +392,7 @@
 	if f.GetMore() && reserved {
 		return
 	}
-	delete(k.pending, f.GetNumber())
-	// The receiver of the reply reserves what it holds.
-	e.body.release()
-	if e.hasDataFrames {
-		e.session.dropData(f.GetNumber())
-	}
+	k.removeExchange(f.GetNumber(), e)
 	k.closeRetiredIfIdle(e.session)
 	if !reserved {
 		k.linker.RefusedForMemory.Add(1)
--- a/internal/linker/reply_test.go
+++ b/internal/linker/reply_test.go
@@ -8,6 +8,9 @@
 
 	"github.com/flamingotack/flamingotack/internal/accountant"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
+	"github.com/flamingotack/flamingotack/internal/framer"
+	"github.com/flamingotack/flamingotack/internal/logger"
+	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
 
 // TestReplyWaitsForEvictedMemory guards against answers of calls that have run and are dropped
@@ -54,3 +57,47 @@
 		t.Errorf("got refusal %v, want the whole answer", refusal)
 	}
 }
+
+// TestEndedExchangeReleasesPartialReply guards against memory that stays reserved, and parts of
+// a request that stay queued, after an exchange has ended with part of its reply, in any way.
+func TestEndedExchangeReleasesPartialReply(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(k *link, number uint64, s *session)
+	}{
+		{"answered", func(k *link, number uint64, _ *session) {
+			k.completeExchange(&framer.Frame{Number: number, Data: make([]byte, 1)})
+		}},
+		{"refused", func(k *link, number uint64, _ *session) {
+			k.completeExchange(&framer.Frame{Number: number, Refusal: &framer.Refusal{Status: http.StatusBadGateway}})
+		}},
+		{"abandoned", func(k *link, number uint64, _ *session) { k.abandonExchange(number) }},
+		{"link lost", func(k *link, _ uint64, s *session) { k.handleSessionEnd(s) }},
+		{"link silent", func(k *link, _ uint64, s *session) {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			k.retire(s)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := New(Member{Name: "a"}, timekeeper.SystemClock{}, logger.New(t.Output(), "info", "a"), Handlers{Account: accountant.New(accountBytes)})
+			k := newLink(l, Member{Name: "b"})
+			s := newSession(timekeeper.SystemClock{}, nil, func() {})
+			k.current.Store(s)
+			number, _ := k.beginExchange(&exchange{idempotent: true, hasDataFrames: true})
+			s.enqueue(&framer.Frame{Number: number, Data: make([]byte, 1)})
+			k.completeExchange(&framer.Frame{Number: number, Reply: &framer.Reply{Status: http.StatusOK, BodyBytes: accountBytes / 2}, More: true})
+			if got, want := l.account.UsedBytes(), int64(accountBytes/2); got != want {
+				t.Fatalf("got %d bytes reserved for the partial reply, want %d", got, want)
+			}
+			tt.end(k, number, s)
+			if got := l.account.UsedBytes(); got != 0 {
+				t.Errorf("got %d bytes reserved, want 0", got)
+			}
+			if !s.data.isEmpty() {
+				t.Error("got queued parts of the request, want none")
+			}
+		})
+	}
+}
--- a/internal/linker/silence.go
+++ b/internal/linker/silence.go
@@ -18,7 +18,7 @@
 	k.failures.Add(1)
 	for number, e := range k.pending {
 		if e.session == s && e.idempotent {
-			delete(k.pending, number)
+			k.removeExchange(number, e)
 			e.done <- result{refusal: k.silentRefusal()}
 			s.enqueue(&framer.Frame{Number: number, Cancel: true})
 		}
