Charge what a request in progress needs beside its head and body

What callers saw: nodes beyond the memory of their instance while callers send many small requests ahead without waiting for answers. Cause: the account charged heads and bodies, some 1.5 kB for a small request. While it is in progress it needs stacks, contexts, timers and messages besides: about 14 kB, at most 64 times on each connection. Evidence, before: 290 callers a node with 63 requests each, which run while servers are slow: 250 and 245 MiB, 266 and 233 MiB of 91.5; the collector's trace shows 70 MB of live heap and 71 MB of stacks on 18,000 requests. Change: 16 KiB for each request, from its first byte until it has its response, and for each call of another node. Refusals are as for any shortage: 503 with Retry-After, not run.

--- a/internal/acceptor/requestreader.go
+++ b/internal/acceptor/requestreader.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/flamingotack/flamingotack/internal/accountant"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 )
 
@@ -97,6 +98,9 @@
 	if c.holder.Evicted() {
 		return nil, errEvicted
 	}
+	if err := c.reserve(accountant.RequestBytes); err != nil {
+		return nil, err
+	}
 	c.headMeter = headMeter{}
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
 	if err := c.chargeHead(buffered); err != nil {
--- a/internal/accountant/size.go
+++ b/internal/accountant/size.go
@@ -1,6 +1,9 @@
 package accountant
 
 const (
+	// RequestBytes is the memory that a request needs beside its head and body while it is in
+	// progress on a node: goroutines with their stacks, contexts, timers and messages.
+	RequestBytes = 16 << 10
 	// accountFraction is the share of the instance's memory that requests and answers may hold.
 	// On the smallest instance, 184 MB, a body of 64 MiB fits beside the share for small
 	// requests, and 64 MB are left for the process, its links and garbage.
--- a/internal/linker/assembly.go
+++ b/internal/linker/assembly.go
@@ -106,7 +106,7 @@
 			c.body.release()
 		}
 		c = &inboundCall{Call: toCall(m, now)}
-		reserved = c.body.begin(l.account, now, m.GetBodyBytes(), int64(len(m.GetBody())), headBytes(m.GetHeader()))
+		reserved = c.body.begin(l.account, now, m.GetBodyBytes(), int64(len(m.GetBody())), accountant.RequestBytes+headBytes(m.GetHeader()))
 	case c != nil:
 		reserved = c.body.add(now, int64(len(f.GetData())))
 		appendBodyPart(&c.Body, &c.MoreBody, f.GetData())
