Let heads of very many lines take turns at the processor

What callers saw: on an instance with one processor ordinary requests got 502 or 504 after 8 s, or nothing, while callers send heads of thousands of lines ahead, reset the connection and come again; the nodes lost their links and had 2,000 connections to work off afterwards. Cause: parsing such a head takes 0.3 to 0.6 ms, an ordinary one 2.5 µs (one processor), and hundreds of connections parse at once. Each runs for a time slice of 10 ms, so each step of another request waits for seconds. A profile shows 83 to 95 % in ReadMIMEHeader. Ruled out: a gate alone. Change: input beyond 128 lines of a head, or 128 KiB of a body in chunks, is processed by half as many connections as there are processors, in turns after each read; who gets a turn yields first. After 1 s without a turn a request is refused with 503 and Retry-After, not run.

--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -36,6 +36,8 @@
 		holder accountant.Holder
 		// headMeter charges the head that is being read.
 		headMeter headMeter
+		// work bounds the processor time that is spent on the request being read.
+		work inputWork
 		// requestBytes is the memory that is reserved for the request being read.
 		requestBytes int64
 		// writeEvicted is set if the connection was evicted during a write.
@@ -89,9 +91,11 @@
 		socket:        socket,
 		socketReader:  socketReader,
 		reader:        bufio.NewReaderSize(socketReader, readBufferBytes),
+		work:          inputWork{gate: &s.workGate},
 		lingerTimeout: lingerTimeout,
 		idleFrom:      time.Now(),
 	}
+	socketReader.onRead = c.work.pause
 	socketReader.onProgress = func() { c.holder.RecordProgress(time.Now()) }
 	s.Account.Register(&c.holder, c.evict)
 	return c
@@ -255,9 +259,14 @@
 	switch {
 	case errors.Is(err, errEvicted), errors.Is(err, errMemoryShort):
 		status = http.StatusServiceUnavailable
-		header = http.Header{"Retry-After": {memoryRetryAfter}}
+		header = http.Header{"Retry-After": {shortageRetryAfter}}
 		c.server.MemoryRefusals.Add(1)
 		c.server.logClosed(c, err)
+	case errors.Is(err, errTooLaborious):
+		status = http.StatusServiceUnavailable
+		header = http.Header{"Retry-After": {shortageRetryAfter}}
+		c.server.WorkRefusals.Add(1)
+		c.server.logClosed(c, err)
 	case errors.Is(err, errBodyTooLarge):
 		status = http.StatusRequestEntityTooLarge
 	case errors.Is(err, errHeadTooLarge):
--- a/internal/acceptor/memory.go
+++ b/internal/acceptor/memory.go
@@ -14,9 +14,9 @@
 	// maxWriteBytes is how much of a response is written at once. Each write that ends is
 	// progress of the caller.
 	maxWriteBytes = 256 << 10
-	// memoryRetryAfter is the Retry-After value, in seconds, of a request that was refused
-	// because memory is short.
-	memoryRetryAfter = "1.000"
+	// shortageRetryAfter is the Retry-After value, in seconds, of a request that was refused
+	// because memory or processor time is short.
+	shortageRetryAfter = "1.000"
 	// closedLogInterval is the minimum time between two log lines about connections that
 	// were refused or closed because memory is short.
 	closedLogInterval = time.Second
@@ -62,7 +62,11 @@
 	if c.headMeter.ended || len(data) == 0 {
 		return nil
 	}
-	return c.reserve(accountant.HeadBytes(c.headMeter.add(data)))
+	headBytes, lines := c.headMeter.add(data)
+	if err := c.reserve(accountant.HeadBytes(headBytes, lines)); err != nil {
+		return err
+	}
+	return c.work.addLines(lines)
 }
 
 // reserve reserves memory for the request that is being read.
@@ -200,7 +204,7 @@
 	c.server.pending.Add(-int64(count))
 }
 
-// logClosed logs that memory is short, with the caller's address, at most once in
+// logClosed logs that memory or processor time is short, with the caller's address, at most once in
 // closedLogInterval.
 func (s *Server) logClosed(c *conn, reason error) {
 	now, last := time.Now().UnixNano(), s.closedLoggedAt.Load()
@@ -208,7 +212,7 @@
 		return
 	}
 	action := "request refused"
-	if !errors.Is(reason, errMemoryShort) {
+	if errors.Is(reason, errEvicted) {
 		action = "connection closed"
 	}
 	s.Logger.Warnf("%s, caller %s: %v; %d requests refused and %d connections closed with responses to send so far, %d of %d bytes in use",
--- a/internal/acceptor/requestreader.go
+++ b/internal/acceptor/requestreader.go
@@ -50,6 +50,7 @@
 	c.holder.StartPeerWait(now)
 	defer c.holder.EndPeerWait()
 	c.socketReader.resume()
+	defer c.work.reset()
 	defer func() {
 		// A reader of lines returns what it has of a line instead of the error, and the
 		// parser takes that for a malformed head.
@@ -84,7 +85,9 @@
 	if httpRequest.ContentLength > 0 {
 		err = b.readKnown(httpRequest.ContentLength)
 	} else {
+		c.socketReader.onData = c.work.addChunked
 		err = b.readChunked(limits.MaxBodyBytes)
+		c.socketReader.onData = nil
 	}
 	r.Content, r.MoreContent = b.first, b.more
 	// A trailer is not passed on.
--- a/internal/acceptor/socketreader.go
+++ b/internal/acceptor/socketreader.go
@@ -16,6 +16,8 @@
 type socketReader struct {
 	// remainingBytes is the number of bytes that may still be read.
 	remainingBytes int64
+	// onRead is called before each read. It may be nil.
+	onRead func()
 	// onBlock is called when a read has to wait for data.
 	onBlock func()
 	// onData is called with the bytes that were read. It may be nil. Its error ends the
@@ -48,6 +50,9 @@
 
 // Read reads once. It returns errHeadTooLarge if no bytes remain.
 func (sr *socketReader) Read(p []byte) (n int, err error) {
+	if sr.onRead != nil {
+		sr.onRead()
+	}
 	if sr.onDataErr != nil {
 		return 0, sr.onDataErr
 	}
