Answer 502 when memory is short for an answer, instead of closing the connection

What callers saw: a kept connection that closes without an answer after the request has run, while other callers have filled the memory. Cause: the acceptor closed the socket where it could not reserve the answer, though the small response that it had made instead needs no more than the request held. Evidence: TestResponseWithoutMemoryIsReplaced got an unexpected EOF before. Change: the 502 with the reason "memory" is sent, and the connection goes on. Answers that are not read still end with their connection. Measured: the test passes with -race, with all others of the package.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -106,7 +106,8 @@
 		// because their callers had disconnected.
 		AbandonedRequests atomic.Int64
 		// MemoryRefusals counts the requests that were refused, and DroppedResponses the
-		// connections that were closed with responses to send, because memory was short.
+		// responses that were replaced and the connections that were closed with responses
+		// to send, because memory was short.
 		MemoryRefusals, DroppedResponses atomic.Int64
 		// WorkRefusals counts the requests that were refused because too many others with
 		// very many header lines or long bodies in chunks were being read.
--- a/internal/acceptor/memory.go
+++ b/internal/acceptor/memory.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/accountant"
+	"github.com/flamingotack/flamingotack/internal/exchanger"
 )
 
 const (
@@ -106,8 +107,8 @@
 }
 
 // reserveResponse replaces the memory of a request, which has ended, by that of its response.
-// If memory is short, it closes the connection, as the request may have run, and returns a
-// response without a body.
+// If memory is short, it returns a small one instead, which promises nothing, as the request may
+// have run.
 func (c *conn) reserveResponse(e *exchange, r *Response) *Response {
 	if e.refused {
 		return r
@@ -125,8 +126,7 @@
 	}
 	c.server.DroppedResponses.Add(1)
 	c.server.logClosed(c, errMemoryShort)
-	c.socket.Close()
-	return &Response{Status: http.StatusBadGateway}
+	return &Response{Status: http.StatusBadGateway, Body: []byte(string(exchanger.ReasonMemory) + "\n")}
 }
 
 // evict makes the connection release its memory: a read or a write that waits for the caller
--- a/internal/acceptor/memory_test.go
+++ b/internal/acceptor/memory_test.go
@@ -375,6 +375,46 @@
 	}
 }
 
+// TestResponseWithoutMemoryIsReplaced guards against a kept connection that is closed without an
+// answer because memory is short for it.
+func TestResponseWithoutMemoryIsReplaced(t *testing.T) {
+	s, dial := newAccountServer(t, 8<<20, func(_ context.Context, r *Request) *Response {
+		if r.URL.Path == "/short" {
+			return &Response{Status: http.StatusOK, Body: []byte("ok")}
+		}
+		return &Response{Status: http.StatusOK, Body: make([]byte, 1<<20)}
+	})
+	var other accountant.Holder
+	s.Account.Register(&other, nil)
+	for other.Reserve(time.Now(), 64<<10) == accountant.Granted {
+	}
+	c := dial()
+	reader := bufio.NewReader(c)
+	for _, tt := range []struct {
+		path, wantBody string
+		wantStatus     int
+	}{
+		{"/long", "memory\n", http.StatusBadGateway},
+		{"/short", "ok", http.StatusOK},
+	} {
+		fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: a\r\n\r\n", tt.path)
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("%s: got %v, want a response over the same connection", tt.path, err)
+		}
+		defer response.Body.Close()
+		body, _ := io.ReadAll(response.Body)
+		if response.StatusCode != tt.wantStatus || string(body) != tt.wantBody {
+			t.Errorf("%s: got status %d, body %q, want %d, %q", tt.path, response.StatusCode, body, tt.wantStatus, tt.wantBody)
+		}
+	}
+	if got := s.DroppedResponses.Load(); got != 1 {
+		t.Errorf("got %d responses dropped, want 1", got)
+	}
+	other.Release(other.HeldBytes())
+	waitFor(t, func() bool { return s.Account.UsedBytes() == 0 })
+}
+
 // newBenchmarkServer returns a server with an account that answers each request.
 func newBenchmarkServer() *Server {
 	return &Server{
