--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -109,12 +109,12 @@
 		// responses that were replaced and the connections that were closed with responses
 		// to send, because memory was short.
 		MemoryRefusals, DroppedResponses atomic.Int64
-		// WorkRefusals counts the requests that were refused because too many others with
+		// ParseRefusals counts the requests that were refused because too many others with
 		// very many header lines or long bodies in chunks were being read.
-		WorkRefusals atomic.Int64
+		ParseRefusals atomic.Int64
 
-		// workGate bounds the processor time for laborious requests.
-		workGate workGate
+		// parseLimiter bounds the processor time for expensive requests.
+		parseLimiter parseLimiter
 		// closedLoggedAt is when a connection that was closed for lack of memory was
 		// last logged, in nanoseconds since 1970.
 		closedLoggedAt atomic.Int64
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -36,8 +36,8 @@
 		holder accountant.Holder
 		// headMeter charges the head that is being read.
 		headMeter headMeter
-		// work bounds the processor time that is spent on the request being read.
-		work inputWork
+		// parseCost bounds the processor time that is spent on the request being read.
+		parseCost parseCost
 		// requestBytes is the memory that is reserved for the request being read.
 		requestBytes int64
 		// writeEvicted is set if the connection was evicted during a write.
@@ -91,11 +91,11 @@
 		socket:        socket,
 		socketReader:  socketReader,
 		reader:        bufio.NewReaderSize(socketReader, readBufferBytes),
-		work:          inputWork{gate: &s.workGate},
+		parseCost:     parseCost{limiter: &s.parseLimiter},
 		lingerTimeout: lingerTimeout,
 		idleFrom:      time.Now(),
 	}
-	socketReader.onRead = c.work.pause
+	socketReader.onRead = c.parseCost.releaseSlot
 	socketReader.onProgress = func() { c.holder.RecordProgress(time.Now()) }
 	s.Account.Register(&c.holder, c.evict)
 	return c
@@ -262,10 +262,10 @@
 		header = http.Header{"Retry-After": {shortageRetryAfter}}
 		c.server.MemoryRefusals.Add(1)
 		c.server.logClosed(c, err)
-	case errors.Is(err, errTooLaborious):
+	case errors.Is(err, errParserBusy):
 		status = http.StatusServiceUnavailable
 		header = http.Header{"Retry-After": {shortageRetryAfter}}
-		c.server.WorkRefusals.Add(1)
+		c.server.ParseRefusals.Add(1)
 		c.server.logClosed(c, err)
 	case errors.Is(err, errBodyTooLarge):
 		status = http.StatusRequestEntityTooLarge
--- a/internal/acceptor/memory.go
+++ b/internal/acceptor/memory.go
@@ -67,7 +67,7 @@
 	if err := c.reserve(accountant.HeadBytes(headBytes, lines)); err != nil {
 		return err
 	}
-	return c.work.addLines(lines)
+	return c.parseCost.addLines(lines)
 }
 
 // reserve reserves memory for the request that is being read.
--- a/internal/acceptor/workgate_test.go
+++ b/internal/acceptor/parselimiter_test.go
@@ -8,24 +8,23 @@
 	"testing"
 )
 
-// occupy takes all slots of the gate and returns a function that gives them back.
-func (g *workGate) occupy() (free func()) {
-	g.enter()
-	count := 1
-	for ; count < cap(g.slots); count++ {
-		g.enter()
+// occupy acquires all slots and returns a function that releases them.
+func (l *parseLimiter) occupy() (release func()) {
+	l.acquire()
+	for range cap(l.slots) - 1 {
+		l.acquire()
 	}
 	return func() {
-		for range count {
-			g.leave()
+		for range cap(l.slots) {
+			l.release()
 		}
 	}
 }
 
-// TestLaboriousInputTakesTurns guards against laborious requests that are processed while others
+// TestExpensiveInputTakesTurns guards against expensive requests that are processed while others
 // have all slots, against ordinary ones that wait for them, and against slots that are not given
 // back.
-func TestLaboriousInputTakesTurns(t *testing.T) {
+func TestExpensiveInputTakesTurns(t *testing.T) {
 	lines := func(count int) string { return strings.Repeat("a: b\r\n", count) }
 	chunks := func(count int) string { return strings.Repeat("1\r\nx\r\n", count) + "0\r\n\r\n" }
 	tests := []struct {
@@ -51,9 +50,9 @@
 				defer response.Body.Close()
 				return response.StatusCode, response.Header.Get("Retry-After")
 			}
-			free := s.workGate.occupy()
+			release := s.parseLimiter.occupy()
 			status, retryAfter := send()
-			free()
+			release()
 			if status != tt.want {
 				t.Errorf("got status %d while others have all slots, want %d", status, tt.want)
 			}
@@ -61,13 +60,13 @@
 			if got := retryAfter != ""; got != refused {
 				t.Errorf("got a Retry-After: %t, want %t", got, refused)
 			}
-			if got := s.WorkRefusals.Load() > 0; got != refused {
+			if got := s.ParseRefusals.Load() > 0; got != refused {
 				t.Errorf("got a counted refusal: %t, want %t", got, refused)
 			}
 			if status, _ := send(); status != http.StatusOK {
 				t.Errorf("got status %d in calm, want 200", status)
 			}
-			waitFor(t, func() bool { return len(s.workGate.slots) == 0 })
+			waitFor(t, func() bool { return len(s.parseLimiter.slots) == 0 })
 		})
 	}
 }
--- a/internal/acceptor/requestreader.go
+++ b/internal/acceptor/requestreader.go
@@ -50,7 +50,7 @@
 	c.holder.StartPeerWait(now)
 	defer c.holder.EndPeerWait()
 	c.socketReader.resume()
-	defer c.work.reset()
+	defer c.parseCost.reset()
 	defer func() {
 		// A reader of lines returns what it has of a line instead of the error, and the
 		// parser takes that for a malformed head.
@@ -85,7 +85,7 @@
 	if httpRequest.ContentLength > 0 {
 		err = b.readKnown(httpRequest.ContentLength)
 	} else {
-		c.socketReader.onData = c.work.addChunked
+		c.socketReader.onData = c.parseCost.addChunked
 		err = b.readChunked(limits.MaxBodyBytes)
 		c.socketReader.onData = nil
 	}
--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -20,7 +20,7 @@
 		{"flamingotack.memory.collections", "Garbage collections that were run as parts of bodies that nobody held any more occupied too much memory.", n.account.Collections},
 		{"flamingotack.memory.transit", "Calls of other nodes and answers to them that ended as memory was short.", n.linker.RefusedForMemory.Load},
 		{"flamingotack.memory.refused", "Requests of callers that were refused as memory was short.", n.acceptor.MemoryRefusals.Load},
-		{"flamingotack.work.refused", "Requests of callers that were refused as too many others with very many header lines or long bodies in chunks were being read.", n.acceptor.WorkRefusals.Load},
+		{"flamingotack.parse.refused", "Requests of callers that were refused as too many others with very many header lines or long bodies in chunks were being read.", n.acceptor.ParseRefusals.Load},
 		{"flamingotack.memory.unread", "Answers to callers that were replaced, and connections that were closed with answers to send, as memory was short.", n.acceptor.DroppedResponses.Load},
 		{"flamingotack.unbegun", "Requests that were not begun, as their callers had left.", n.acceptor.AbandonedRequests.Load},
 		{"flamingotack.repeats", "Calls that were sent to another node after the first one.", n.forwarder.Retries.Load},
