Size and trim the parts of bodies in one place

The acceptor and the invoker had constants and code of their own for the same parts. The accountant, which allocates them, now decides their size (NextPartBytes) and whether a last part is worth a copy (TrimPart). The parts of answers are rounded to pages as those of requests were. No change for callers.

--- a/internal/acceptor/memory_test.go
+++ b/internal/acceptor/memory_test.go
@@ -274,8 +274,8 @@
 	for range callers {
 		fmt.Fprintf(dial(), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", 4<<20)
 	}
-	waitFor(t, func() bool { return s.Account.UsedBytes() >= callers*wholeBodyBytes })
-	if got, want := s.Account.UsedBytes(), int64(callers*(wholeBodyBytes+accountant.RequestBytes+4<<10)); got > want || s.Account.Refusals() > 0 {
+	waitFor(t, func() bool { return s.Account.UsedBytes() >= callers*accountant.WholeBodyBytes })
+	if got, want := s.Account.UsedBytes(), int64(callers*(accountant.WholeBodyBytes+accountant.RequestBytes+4<<10)); got > want || s.Account.Refusals() > 0 {
 		t.Errorf("got %d bytes and %d refusals for bodies of which nothing has arrived, want at most %d bytes", got, s.Account.Refusals(), want)
 	}
 }
--- a/internal/acceptor/requestreader.go
+++ b/internal/acceptor/requestreader.go
@@ -13,19 +13,8 @@
 )
 
 const (
-	// wholeBodyBytes is the size up to which a body is read into one array.
-	wholeBodyBytes = 64 << 10
-	// maxPartBytes bounds the parts of a larger body. A part is reserved and allocated
-	// only when the parts before it are full, so a caller that announces a large body and
-	// sends nothing costs one part.
-	maxPartBytes = 1 << 20
-	// partShareDivisor determines the size of the next part of a body: the bytes read so
-	// far divided by it. At most this share of a body's memory is unused.
-	partShareDivisor = 8
-	// pageBytes is the unit in which the Go runtime allocates large arrays.
-	pageBytes = 8 << 10
 	// firstChunkedBytes is the size of the first array for a body of unknown length. It
-	// grows by chunkedGrowth until it has wholeBodyBytes.
+	// grows by chunkedGrowth until it has accountant.WholeBodyBytes.
 	firstChunkedBytes = 1 << 10
 	chunkedGrowth     = 4
 	// maxChunkedOverhead is how many bytes a caller may send for each byte of a body of
@@ -119,12 +108,12 @@
 
 // readKnown reads a body of known length.
 func (b *bodyReader) readKnown(length int64) (err error) {
-	if length <= wholeBodyBytes {
+	if length <= accountant.WholeBodyBytes {
 		b.first, err = b.readPart(length)
 		return err
 	}
 	for b.readBytes < length {
-		if _, err := b.appendPart(min(length-b.readBytes, b.nextPartBytes())); err != nil {
+		if _, err := b.appendPart(min(length-b.readBytes, accountant.NextPartBytes(b.readBytes))); err != nil {
 			return err
 		}
 	}
@@ -135,7 +124,7 @@
 func (b *bodyReader) readChunked(limit int64) (err error) {
 	ended, err := b.readFirst()
 	for err == nil && !ended && b.readBytes <= limit {
-		ended, err = b.appendPart(b.nextPartBytes())
+		ended, err = b.appendPart(accountant.NextPartBytes(b.readBytes))
 	}
 	if err == nil && b.readBytes > limit {
 		return errBodyTooLarge
@@ -143,7 +132,7 @@
 	return err
 }
 
-// readFirst reads up to wholeBodyBytes of a body of unknown length into one array that grows.
+// readFirst reads up to accountant.WholeBodyBytes of a body of unknown length into one array that grows.
 func (b *bodyReader) readFirst() (ended bool, err error) {
 	size := int64(firstChunkedBytes)
 	if b.first, err = b.conn.allocate(size); err != nil {
@@ -158,7 +147,7 @@
 			b.first = b.trim(b.first)
 			return true, nil
 		}
-		if err != nil || size >= wholeBodyBytes {
+		if err != nil || size >= accountant.WholeBodyBytes {
 			return false, err
 		}
 		// The array takes the place of the one before, which is a fraction of it.
@@ -191,12 +180,9 @@
 
 // trim copies a last part of which much is unused.
 func (b *bodyReader) trim(part []byte) []byte {
-	unused := int64(cap(part) - len(part))
-	if unused <= b.readBytes/partShareDivisor {
-		return part
-	}
-	b.conn.release(unused)
-	return b.conn.holder.ClonePart(part)
+	trimmed, savedBytes := b.conn.holder.TrimPart(part, b.readBytes)
+	b.conn.release(savedBytes)
+	return trimmed
 }
 
 // readPart reserves, allocates and reads one part.
@@ -207,8 +193,3 @@
 	n, err := exchanger.ReadPart(b.body, part)
 	return part[:n], err
 }
-
-// nextPartBytes returns the size of the next part.
-func (b *bodyReader) nextPartBytes() int64 {
-	return max(wholeBodyBytes, min(maxPartBytes, b.readBytes/partShareDivisor)) &^ (pageBytes - 1)
-}
--- a/internal/accountant/parts.go
+++ b/internal/accountant/parts.go
@@ -7,6 +7,17 @@
 )
 
 const (
+	// WholeBodyBytes is the size up to which a body is read into one array.
+	WholeBodyBytes = 64 << 10
+	// maxPartBytes bounds the parts of a larger body. A part is reserved and allocated only
+	// when the parts before it are full, so a peer that announces a large body and sends
+	// nothing costs one part.
+	maxPartBytes = 1 << 20
+	// partShareDivisor determines the size of the next part of a body: the bytes read so far
+	// divided by it. At most this share of a body's memory is unused.
+	partShareDivisor = 8
+	// pageBytes is the unit in which the Go runtime allocates large arrays.
+	pageBytes = 8 << 10
 	// garbageShareDivisor determines how much memory parts may occupy that nobody holds any
 	// more: the size of the account divided by it.
 	garbageShareDivisor = 4
@@ -33,6 +44,11 @@
 	collections atomic.Int64
 }
 
+// NextPartBytes returns the size of the next part of a body of which readBytes were read.
+func NextPartBytes(readBytes int64) int64 {
+	return max(WholeBodyBytes, min(maxPartBytes, readBytes/partShareDivisor)) &^ (pageBytes - 1)
+}
+
 // PartBytes returns the memory in bytes that parts of bodies occupy, those included that no
 // garbage collection has freed yet.
 func (a *Account) PartBytes() int64 {
@@ -79,15 +95,20 @@
 	return part, true
 }
 
-// ClonePart returns a copy of a part that has no unused capacity.
-func (h *Holder) ClonePart(part []byte) (clone []byte) {
-	clone = make([]byte, len(part))
-	copy(clone, part)
-	if h.account != nil && cap(clone) >= minPartBytes {
-		h.account.parts.occupiedBytes.Add(int64(cap(clone)))
-		h.account.parts.freeWithGarbage(clone)
+// TrimPart returns the last part of a body of readBytes in all. If much of its capacity is unused,
+// it returns a copy, and the number of bytes that are saved.
+func (h *Holder) TrimPart(part []byte, readBytes int64) (trimmed []byte, savedBytes int64) {
+	savedBytes = int64(cap(part) - len(part))
+	if savedBytes <= readBytes/partShareDivisor {
+		return part, 0
+	}
+	trimmed = make([]byte, len(part))
+	copy(trimmed, part)
+	if h.account != nil && len(trimmed) >= minPartBytes {
+		h.account.parts.occupiedBytes.Add(int64(len(trimmed)))
+		h.account.parts.freeWithGarbage(trimmed)
 	}
-	return clone
+	return trimmed, savedBytes
 }
 
 // occupy counts a part that is about to be allocated, and reports whether there is enough memory
--- a/internal/accountant/parts_test.go
+++ b/internal/accountant/parts_test.go
@@ -74,11 +74,15 @@
 			a.AddPart(part)
 			return part
 		}, testPartBytes},
-		{"cloned", func(_ *Account, h *Holder) []byte { return h.ClonePart(make([]byte, testPartBytes)) }, testPartBytes},
+		{"trimmed", func(_ *Account, h *Holder) []byte {
+			part, _ := h.TrimPart(make([]byte, testPartBytes, 2*testPartBytes), testPartBytes)
+			return part
+		}, testPartBytes},
 		{"small", func(a *Account, h *Holder) []byte {
 			part, _ := h.AllocatePart(minPartBytes - 1)
 			a.AddPart(part)
-			return h.ClonePart(part[:1])
+			part, _ = h.TrimPart(part[:1], 1)
+			return part
 		}, 0},
 		{"none", func(a *Account, _ *Holder) []byte {
 			a.AddPart(nil)
@@ -109,8 +113,9 @@
 	var h Holder
 	a.AddPart(make([]byte, testPartBytes))
 	part, allocated := h.AllocatePart(testPartBytes)
-	if !allocated || len(h.ClonePart(part)) != testPartBytes {
-		t.Error("got no part, want one")
+	trimmed, savedBytes := h.TrimPart(part[:1], 1)
+	if !allocated || len(trimmed) != 1 || savedBytes != testPartBytes-1 {
+		t.Errorf("got a part: %t, trimmed to %d bytes, %d saved; want 1 and %d", allocated, len(trimmed), savedBytes, testPartBytes-1)
 	}
 	if a.PartBytes() != 0 || a.Collections() != 0 {
 		t.Errorf("got %d bytes and %d collections, want none", a.PartBytes(), a.Collections())
--- a/internal/invoker/conn.go
+++ b/internal/invoker/conn.go
@@ -30,14 +30,6 @@
 	// bodies of all responses that are being read, on all connections.
 	maxBodyBytes      = 16 << 20
 	maxTotalBodyBytes = 48 << 20
-	// bodyChunkBytes is how much of a body is read at once. A body whose known
-	// length is at most this is not counted in the total.
-	bodyChunkBytes = 64 << 10
-	// maxPartBytes bounds the parts of a larger body, and partShareDivisor determines
-	// their size: the bytes read so far divided by it. At most this share of a body's
-	// memory is unused.
-	maxPartBytes     = 1 << 20
-	partShareDivisor = 8
 	// requestHeadBytes is the usual size of an encoded request line and header.
 	requestHeadBytes = 512
 	readBufferBytes  = 4 << 10
--- a/internal/invoker/invoker_test.go
+++ b/internal/invoker/invoker_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/flamingotack/flamingotack/internal/accountant"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 )
 
@@ -363,7 +364,7 @@
 			maxTotal.Store(max(maxTotal.Load(), v.totalBodyBytes.Load()))
 		}
 	}
-	if got, want := maxTotal.Load(), int64(maxTotalBodyBytes+16*bodyChunkBytes); got > want {
+	if got, want := maxTotal.Load(), int64(maxTotalBodyBytes+16*accountant.WholeBodyBytes); got > want {
 		t.Errorf("got %d body bytes held, want at most %d", got, want)
 	}
 }
--- a/internal/invoker/parts_test.go
+++ b/internal/invoker/parts_test.go
@@ -17,7 +17,7 @@
 // TestBodiesInParts guards against bodies that arrive changed because they are held in parts,
 // in both directions, and against memory that stays reserved.
 func TestBodiesInParts(t *testing.T) {
-	for _, size := range []int{1, 2 << 10, bodyChunkBytes, bodyChunkBytes + 1, 1_000_000, 5 << 20} {
+	for _, size := range []int{1, 2 << 10, accountant.WholeBodyBytes, accountant.WholeBodyBytes + 1, 1_000_000, 5 << 20} {
 		for _, chunked := range []bool{false, true} {
 			body := bytes.Repeat([]byte("0123456789a"), size/11+1)[:size]
 			v := newTestInvoker(t, func(c net.Conn, r *http.Request, _ int) bool {
--- a/internal/invoker/response.go
+++ b/internal/invoker/response.go
@@ -175,7 +175,7 @@
 		return c.readUntilEOF(c.reader)
 	case h.length == 0:
 		return nil, nil, nil
-	case h.length <= bodyChunkBytes:
+	case h.length <= accountant.WholeBodyBytes:
 		first = make([]byte, h.length)
 		_, err = io.ReadFull(c.reader, first)
 		return first, nil, err
@@ -198,7 +198,7 @@
 		c.holder.Release(reservedBytes)
 	}()
 	for {
-		size := max(bodyChunkBytes, min(maxPartBytes, readBytes/partShareDivisor))
+		size := accountant.NextPartBytes(readBytes)
 		if limited, ok := r.(*io.LimitedReader); ok {
 			// One byte more than the rest finds the end.
 			size = min(size, limited.N+1)
@@ -221,8 +221,8 @@
 		c.totalBodyBytes.Add(int64(n) - size)
 		countedBytes += int64(n) - size
 		ended := errors.Is(err, io.EOF)
-		if ended && int64(cap(part)-n) > readBytes/partShareDivisor {
-			part = c.holder.ClonePart(part)
+		if ended {
+			part, _ = c.holder.TrimPart(part, readBytes)
 		}
 		if first == nil {
 			first = part
@@ -241,7 +241,7 @@
 }
 
 // countPart adds a part that is about to be read to the bytes of all bodies and returns its
-// size: at most bodyChunkBytes near the bound, so that concurrent large parts do not exceed it,
+// size: at most accountant.WholeBodyBytes near the bound, so that concurrent large parts do not exceed it,
 // and 0 beyond it.
 func (c *conn) countPart(size int64) int64 {
 	for {
@@ -250,7 +250,7 @@
 			return 0
 		}
 		if total+size > maxTotalBodyBytes {
-			size = min(size, bodyChunkBytes)
+			size = min(size, accountant.WholeBodyBytes)
 		}
 		if c.totalBodyBytes.CompareAndSwap(total, total+size) {
 			return size
--- a/internal/invoker/response_test.go
+++ b/internal/invoker/response_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/flamingotack/flamingotack/internal/accountant"
 )
 
 // TestWhatCountsAsAnswer guards against bytes of a backend server in trouble that pass for
@@ -137,13 +139,13 @@
 	total := &atomic.Int64{}
 	total.Store(maxTotalBodyBytes - 1)
 	c := &conn{totalBodyBytes: total}
-	if got := c.countPart(1 << 20); got != bodyChunkBytes {
-		t.Errorf("got a part of %d bytes near the bound, want %d", got, bodyChunkBytes)
+	if got := c.countPart(1 << 20); got != accountant.WholeBodyBytes {
+		t.Errorf("got a part of %d bytes near the bound, want %d", got, accountant.WholeBodyBytes)
 	}
 	if got := c.countPart(1 << 20); got != 0 {
 		t.Errorf("got a part of %d bytes beyond the bound, want none", got)
 	}
-	if got, want := total.Load(), int64(maxTotalBodyBytes-1+bodyChunkBytes); got != want {
+	if got, want := total.Load(), int64(maxTotalBodyBytes-1+accountant.WholeBodyBytes); got != want {
 		t.Errorf("got %d bytes counted, want %d", got, want)
 	}
 }
