Release the slot of the parse limiter while a body waits for memory

Read from the code: a body in chunks that waits up to 200 ms for memory kept its slot, so other expensive requests waited for memory that they did not need. Measured: the tests of the acceptor pass with -race.

--- a/internal/acceptor/memory.go
+++ b/internal/acceptor/memory.go
@@ -82,8 +82,10 @@
 	return errMemoryShort
 }
 
-// allocate reserves and allocates a part of the request that is being read.
+// allocate reserves and allocates a part of the request that is being read. It may have to wait,
+// so others may parse meanwhile.
 func (c *conn) allocate(size int64) (part []byte, err error) {
+	c.parseCost.releaseSlot()
 	if err := c.reserve(size); err != nil {
 		return nil, err
 	}
