Bound connections to the port for other nodes until they tell a name

What callers saw: a node beyond the memory of its instance, once someone opens connections to the port for links and sends messages without end. Cause: a message may have 8 MiB, its buffer grows as the data arrives, and connections had no bound and no timeout. The port is for other nodes alone, but it can be reached. The counter flamingotack.links.refused shows it. After the name nothing is different.

--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -14,6 +14,7 @@
 		{"flamingotack.rewrites", "Records that were written again after a restore of the directory.", n.rewriter.rewrites.Load},
 		{"flamingotack.peers.changes", "Changes of the other nodes and of the links to them.", func() int64 { return int64(n.linker.PeersVersion()) }},
 		{"flamingotack.links.lost", "Links to other nodes that broke or went silent.", n.linker.LostLinks.Load},
+		{"flamingotack.links.refused", "Connections to the port for other nodes that were closed before they told a name, to make room or as they sent too much.", n.linker.RefusedHandshakes},
 		{"flamingotack.connections.dropped", "Connections of callers that were closed to make room.", n.acceptor.DroppedConnections.Load},
 		{"flamingotack.connections.failed", "Connections of callers that could not be accepted.", n.acceptor.AcceptFailures.Load},
 		{"flamingotack.memory.evicted", "Connections of callers that were evicted as memory was short and no data had arrived for long.", n.account.Evictions},
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -115,11 +115,13 @@
 		// short.
 		RefusedForMemory atomic.Int64
 
-		account  *accountant.Account
-		clock    timekeeper.Clock
-		handlers Handlers
-		logger   *logger.Logger
-		self     Member
+		account *accountant.Account
+		// handshakes bounds the inbound connections whose other side is not known yet.
+		handshakes handshakes
+		clock      timekeeper.Clock
+		handlers   Handlers
+		logger     *logger.Logger
+		self       Member
 
 		// goroutines tracks the goroutines of links and of their sessions.
 		goroutines sync.WaitGroup
@@ -280,6 +282,12 @@
 	return acceptConns(ctx, l, listener)
 }
 
+// RefusedHandshakes returns the number of inbound connections that were closed to make room, or
+// because they sent too much, before they told the name of a node.
+func (l *Linker) RefusedHandshakes() int64 {
+	return l.handshakes.refused.Load()
+}
+
 // Idle reports whether this node runs no call for another node and has sent all answers.
 func (l *Linker) Idle() bool {
 	l.mu.Lock()
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -23,7 +23,7 @@
 	// meshServer serves the drpc streams of one connection from another node.
 	meshServer struct {
 		linker *Linker
-		conn   net.Conn
+		conn   *inboundConn
 	}
 
 	// inboundSession is a session that another node has established, with the calls
@@ -69,22 +69,23 @@
 }
 
 // serveConn serves one connection of another node until it ends.
-func (l *Linker) serveConn(ctx context.Context, conn net.Conn) {
-	defer conn.Close()
+func (l *Linker) serveConn(ctx context.Context, socket net.Conn) {
+	if tcp, ok := socket.(*net.TCPConn); ok {
+		_ = tcp.SetKeepAliveConfig(dialer.KeepAliveConfig())
+	}
+	conn := l.handshakes.begin(socket)
+	defer func() { _ = conn.Close() }()
 	mux := drpcmux.New()
 	if err := framer.DRPCRegisterMesh(mux, &meshServer{linker: l, conn: conn}); err != nil {
 		l.logger.Errorf("registering the link service failed: %v", err)
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetKeepAliveConfig(dialer.KeepAliveConfig())
-	}
 	_ = drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()}).ServeOne(ctx, conn)
 }
 
 // Link serves the drpc method Mesh.Link until the stream ends. It returns nil.
 func (t *meshServer) Link(stream framer.DRPCMesh_LinkStream) error {
-	s := newSession(t.linker.clock, stream, func() { t.conn.Close() })
+	s := newSession(t.linker.clock, stream, func() { _ = t.conn.Close() })
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	r := &inboundSession{
@@ -133,6 +134,9 @@
 		if first {
 			r.member = toMember(f.GetNews())
 		}
+		if first && r.member.Name != "" {
+			r.server.conn.completeHandshake()
+		}
 		l.handleNews(r.session, f.GetNews(), true)
 		if first {
 			l.addInbound(r)
