Let go of sent bodies in the queue of a link

What callers saw: a node that keeps up to a whole body, 32 MiB here, for nobody, after large bodies have crossed a link, until the next ones do. Cause: the queue of the parts of large bodies took frames from the front of its slices. The array behind a slice that is empty afterwards stays, with all its frames. TestManyConnectionsKeepNodesWithinLimits had failed so once before. TestSentBodiesAreNotKept failed before: all parts were still kept. Change: taken frames are cleared in the arrays.

--- a/internal/linker/dataqueue.go
+++ b/internal/linker/dataqueue.go
@@ -73,6 +73,8 @@
 func (q *dataQueue) take() *framer.Frame {
 	c := q.calls[0]
 	f := c.frames[0]
+	// The arrays behind the slices stay, so they must not keep a sent body.
+	c.frames[0], q.calls[0] = nil, nil
 	c.frames = c.frames[1:]
 	q.calls = q.calls[1:]
 	if len(c.frames) > 0 {
--- a/internal/linker/dataqueue_test.go
+++ b/internal/linker/dataqueue_test.go
@@ -1,7 +1,9 @@
 package linker
 
 import (
+	"runtime"
 	"testing"
+	"weak"
 
 	"github.com/flamingotack/flamingotack/internal/framer"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
@@ -62,3 +64,42 @@
 		t.Errorf("got frames %v, want all", received)
 	}
 }
+
+// TestSentBodiesAreNotKept guards against queues that keep the parts of a body that was sent or
+// dropped, although nobody has reserved memory for it any more.
+func TestSentBodiesAreNotKept(t *testing.T) {
+	const parts = 4
+	tests := []struct {
+		name string
+		end  func(q *dataQueue)
+	}{
+		{"sent", func(q *dataQueue) {
+			for range parts {
+				q.take()
+			}
+		}},
+		{"dropped halfway", func(q *dataQueue) {
+			q.take()
+			q.remove(1)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var q dataQueue
+			var bodies []weak.Pointer[framer.Frame]
+			for range parts {
+				f := &framer.Frame{Number: 1, Data: make([]byte, maxFrameBodyBytes)}
+				bodies = append(bodies, weak.Make(f))
+				q.add(f)
+			}
+			tt.end(&q)
+			runtime.GC()
+			for i, f := range bodies {
+				if f.Value() != nil {
+					t.Errorf("part %d is still kept", i)
+				}
+			}
+			runtime.KeepAlive(&q)
+		})
+	}
+}
