--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -115,13 +115,13 @@
 
 		// parseLimiter bounds the processor time for expensive requests.
 		parseLimiter parseLimiter
-		// closedLoggedAt is when a connection that was closed for lack of memory was
-		// last logged, in nanoseconds since 1970.
-		closedLoggedAt atomic.Int64
-		pending        atomic.Int64
-		mu             sync.Mutex
-		closed         bool
-		conns          map[*conn]struct{}
+		// closedLogs bounds the log lines about requests and connections that were refused
+		// or closed for lack of memory or processor time.
+		closedLogs logger.Throttle
+		pending    atomic.Int64
+		mu         sync.Mutex
+		closed     bool
+		conns      map[*conn]struct{}
 		// closingConns are the connections that were closed while idle and are
 		// still read for their linger timeout.
 		closingConns map[*conn]struct{}
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -257,15 +257,10 @@
 	var header http.Header
 	var netErr net.Error
 	switch {
-	case errors.Is(err, errEvicted), errors.Is(err, errMemoryShort):
+	case errors.Is(err, errEvicted), errors.Is(err, errMemoryShort), errors.Is(err, errParserBusy):
 		status = http.StatusServiceUnavailable
 		header = http.Header{"Retry-After": {shortageRetryAfter}}
-		c.server.MemoryRefusals.Add(1)
-		c.server.logClosed(c, err)
-	case errors.Is(err, errParserBusy):
-		status = http.StatusServiceUnavailable
-		header = http.Header{"Retry-After": {shortageRetryAfter}}
-		c.server.ParseRefusals.Add(1)
+		c.server.countShortage(err)
 		c.server.logClosed(c, err)
 	case errors.Is(err, errBodyTooLarge):
 		status = http.StatusRequestEntityTooLarge
--- a/internal/acceptor/memory.go
+++ b/internal/acceptor/memory.go
@@ -206,11 +206,19 @@
 	c.server.pending.Add(-int64(count))
 }
 
+// countShortage counts a request that was refused because memory or processor time is short.
+func (s *Server) countShortage(reason error) {
+	if errors.Is(reason, errParserBusy) {
+		s.ParseRefusals.Add(1)
+		return
+	}
+	s.MemoryRefusals.Add(1)
+}
+
 // logClosed logs that memory or processor time is short, with the caller's address, at most once in
 // closedLogInterval.
 func (s *Server) logClosed(c *conn, reason error) {
-	now, last := time.Now().UnixNano(), s.closedLoggedAt.Load()
-	if now-last < int64(closedLogInterval) || !s.closedLoggedAt.CompareAndSwap(last, now) {
+	if !s.closedLogs.Allow(time.Now(), closedLogInterval) {
 		return
 	}
 	action := "request refused"
@@ -218,5 +226,5 @@
 		action = "connection closed"
 	}
 	s.Logger.Warnf("%s, caller %s: %v; %d requests refused and %d connections closed with responses to send so far, %d of %d bytes in use",
-		action, c.socket.RemoteAddr(), reason, s.MemoryRefusals.Load(), s.DroppedResponses.Load(), s.Account.UsedBytes(), s.Account.SizeBytes())
+		action, c.socket.RemoteAddr(), reason, s.MemoryRefusals.Load()+s.ParseRefusals.Load(), s.DroppedResponses.Load(), s.Account.UsedBytes(), s.Account.SizeBytes())
 }
--- a/internal/accountant/parts.go
+++ b/internal/accountant/parts.go
@@ -70,11 +70,9 @@
 // AddPart counts a part that was allocated elsewhere, and waits at most 100 ms until the parts
 // occupy no more memory than they may.
 func (a *Account) AddPart(part []byte) {
-	if a == nil || cap(part) < minPartBytes {
+	if a == nil || !a.parts.add(part) {
 		return
 	}
-	a.parts.occupiedBytes.Add(int64(cap(part)))
-	a.parts.freeWithGarbage(part)
 	a.parts.awaitRoom(func() bool { return a.parts.occupiedBytes.Load() <= a.parts.limitBytes })
 }
 
@@ -104,13 +102,22 @@
 	}
 	trimmed = make([]byte, len(part))
 	copy(trimmed, part)
-	if h.account != nil && len(trimmed) >= minPartBytes {
-		h.account.parts.occupiedBytes.Add(int64(len(trimmed)))
-		h.account.parts.freeWithGarbage(trimmed)
+	if h.account != nil {
+		h.account.parts.add(trimmed)
 	}
 	return trimmed, savedBytes
 }
 
+// add counts a part that is there already, unless it is small, and reports whether it did.
+func (m *partMemory) add(part []byte) (counted bool) {
+	if cap(part) < minPartBytes {
+		return false
+	}
+	m.occupiedBytes.Add(int64(cap(part)))
+	m.freeWithGarbage(part)
+	return true
+}
+
 // occupy counts a part that is about to be allocated, and reports whether there is enough memory
 // for it.
 func (m *partMemory) occupy(size int64) bool {
--- a/internal/invoker/response.go
+++ b/internal/invoker/response.go
@@ -241,8 +241,8 @@
 }
 
 // countPart adds a part that is about to be read to the bytes of all bodies and returns its
-// size: at most accountant.WholeBodyBytes near the bound, so that concurrent large parts do not exceed it,
-// and 0 beyond it.
+// size: at most accountant.WholeBodyBytes near the bound, so that concurrent large parts do not
+// exceed it, and 0 beyond it.
 func (c *conn) countPart(size int64) int64 {
 	for {
 		total := c.totalBodyBytes.Load()
--- a/internal/linker/handshakes.go
+++ b/internal/linker/handshakes.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/flamingotack/flamingotack/internal/logger"
 )
 
 const (
@@ -19,16 +21,24 @@
 	// maxAllHandshakeBytes what is read of all such connections.
 	maxHandshakeBytes    = 1 << 20
 	maxAllHandshakeBytes = 8 << 20
+	// handshakeLogInterval is the minimum time between two log lines about refused handshakes.
+	handshakeLogInterval = time.Second
 )
 
-var errHandshakeTooLarge = errors.New("too much data before the name of the node")
+var (
+	errHandshakeTooLarge = errors.New("too much data before the name of the node")
+	errTooManyHandshakes = errors.New("too many connections that have not told the name of a node")
+)
 
 type (
 	// handshakes holds the inbound connections whose other side has not told its name yet.
-	// They may come from anyone who reaches the port. The zero value is empty.
+	// They may come from anyone who reaches the port. The logger must be set before use.
 	handshakes struct {
 		// refused counts the connections that were closed to make room, or had sent too much.
 		refused atomic.Int64
+		// refusalLogs bounds the log lines about them.
+		refusalLogs logger.Throttle
+		logger      *logger.Logger
 
 		mu sync.Mutex
 		// conns holds the connections, the oldest first.
@@ -57,7 +67,7 @@
 	if len(h.conns) >= maxHandshakes {
 		oldest := h.conns[0]
 		h.remove(oldest)
-		h.refused.Add(1)
+		h.countRefusal(oldest, errTooManyHandshakes)
 		oldest.Conn.Close()
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(handshakeTimeout))
@@ -76,6 +86,15 @@
 	h.conns = slices.DeleteFunc(h.conns, func(other *inboundConn) bool { return other == c })
 }
 
+// countRefusal counts a connection that is closed before its handshake is complete, and logs it at
+// most once in handshakeLogInterval.
+func (h *handshakes) countRefusal(c *inboundConn, reason error) {
+	refused := h.refused.Add(1)
+	if h.refusalLogs.Allow(time.Now(), handshakeLogInterval) {
+		h.logger.Warnf("connection of %s closed: %v; %d closed so far", c.RemoteAddr(), reason, refused)
+	}
+}
+
 // completeHandshake lifts the bounds of a connection whose other side has told its name.
 func (c *inboundConn) completeHandshake() {
 	if !c.pending.Load() {
@@ -107,7 +126,7 @@
 	c.readBytes += n
 	h.readBytes += n
 	if c.readBytes > maxHandshakeBytes || h.readBytes > maxAllHandshakeBytes {
-		h.refused.Add(1)
+		h.countRefusal(c, errHandshakeTooLarge)
 		return 0, errHandshakeTooLarge
 	}
 	return n, err
--- a/internal/linker/handshakes_test.go
+++ b/internal/linker/handshakes_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"testing"
+
+	"github.com/flamingotack/flamingotack/internal/logger"
 )
 
 // newSocketPair returns the two ends of a connection.
@@ -21,7 +23,7 @@
 // TestHandshakesAreBounded guards against connections without bound that tell no name, and against
 // bounds that stay on connections which have told it.
 func TestHandshakesAreBounded(t *testing.T) {
-	var h handshakes
+	h := handshakes{logger: logger.New(t.Output(), "info", "a")}
 	var conns []*inboundConn
 	for range maxHandshakes + 1 {
 		near, _ := newSocketPair(t)
@@ -61,7 +63,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			h := handshakes{readBytes: tt.others}
+			h := handshakes{readBytes: tt.others, logger: logger.New(t.Output(), "info", "a")}
 			near, far := newSocketPair(t)
 			c := h.begin(near)
 			if tt.complete {
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -212,6 +212,7 @@
 func New(self Member, clock timekeeper.Clock, l *logger.Logger, h Handlers) *Linker {
 	return &Linker{
 		account:        h.Account,
+		handshakes:     handshakes{logger: l},
 		clock:          clock,
 		handlers:       h,
 		logger:         l,
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -47,10 +47,11 @@
 		// Closed counts the connections that were closed to make room.
 		Closed *atomic.Int64
 
-		server   http.Server
-		mu       sync.Mutex
-		conns    map[*conn]struct{}
-		loggedAt time.Time
+		server http.Server
+		// closedLogs bounds the log lines about connections that were closed to make room.
+		closedLogs logger.Throttle
+		mu         sync.Mutex
+		conns      map[*conn]struct{}
 	}
 
 	// conn is an open connection. The server's lock guards its fields.
@@ -145,14 +146,11 @@
 	return c.waitsSince.Before(other.waitsSince)
 }
 
-// logClosed logs that a connection is closed to make room, at most once in logInterval. The
-// caller holds the lock.
+// logClosed logs that a connection is closed to make room, at most once in logInterval.
 func (s *Server) logClosed(c *conn) {
-	now := time.Now()
-	if now.Sub(s.loggedAt) < logInterval {
+	if !s.closedLogs.Allow(time.Now(), logInterval) {
 		return
 	}
-	s.loggedAt = now
 	s.Logger.Warnf("connection of %s closed, %d are open; %d closed so far", c.RemoteAddr(), MaxConnections, s.Closed.Load())
 }
 
