Accept only requests that can be answered before a stop ends

Cause: a request without a key on an open route counted as a call of the local backend server, which was accepted to the end of the stop. Nobody asked whether a run is in progress that may wait for it, nor whether there is time to answer it.

Change: drainer holds the schedule of the stop and decides in one place. After the linger only calls of runs in progress are accepted, and those only if their deadline or the mean time of their route lets them end in time.

The case of TestAdmission that took any request without a key for a call of the backend server is replaced by three: a call of a run, the same without time left, and a caller without a key.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -14,6 +14,7 @@
 	"github.com/flamingotack/flamingotack/internal/acceptor"
 	"github.com/flamingotack/flamingotack/internal/attributor"
 	"github.com/flamingotack/flamingotack/internal/director"
+	"github.com/flamingotack/flamingotack/internal/drainer"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/logger"
 	"github.com/flamingotack/flamingotack/internal/meter"
@@ -52,6 +53,8 @@
 		// RecordRequest counts a caller's request to a service towards the retry
 		// budget.
 		RecordRequest(service string)
+		// MeanRunTime returns the mean time of a run of a route; 0 if it is not known.
+		MeanRunTime(route string) time.Duration
 		// Forward runs a call on one of the nodes of its service and returns
 		// either a reply or a refusal.
 		Forward(ctx context.Context, c *exchanger.Call, r *director.Route) (*exchanger.Reply, *exchanger.Refusal)
@@ -79,6 +82,8 @@
 		// CountCall counts a call to a route that the local backend server makes
 		// in a run that is not known.
 		CountCall func(route string)
+		// Drain returns the schedule of the node's stop.
+		Drain func() drainer.Drain
 		// HeaderNames are the names of the header fields.
 		HeaderNames exchanger.HeaderNames
 		// Forwarder runs the calls.
@@ -91,9 +96,6 @@
 		RateLimiter RateLimiter
 		// Runs holds the runs on the local backend server, which make calls.
 		Runs *attributor.Attributor
-		// RefuseNewChains reports whether the node is about to exit and refuses
-		// requests that start a call chain.
-		RefuseNewChains func() bool
 		// LocalService is the service of the local backend server.
 		LocalService string
 		// Table returns the active configuration.
@@ -196,7 +198,7 @@
 		return nil, refusal
 	}
 	call := a.newCall(r, id, route, customer)
-	if !call.Nested && a.RefuseNewChains() {
+	if !a.hasTimeFor(call) {
 		refusal := exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonDraining, "the node stops")
 		refusal.RetryAfter = drainingRetryAfter
 		return nil, refusal
@@ -204,6 +206,19 @@
 	return &resolvedCall{call: call, customer: customer, route: route}, nil
 }
 
+// hasTimeFor reports whether the node, if it stops, can still have the call answered.
+func (a *Admitter) hasTimeFor(call *exchanger.Call) bool {
+	drain, now := a.Drain(), a.Clock.Now()
+	if drain.Lingers(now) {
+		return true
+	}
+	return drain.Accepts(now, drainer.Request{
+		Call:        call,
+		InRun:       call.Nested && a.Runs.MayBeInRun(call.ID),
+		MeanRunTime: a.Forwarder.MeanRunTime(call.Route),
+	})
+}
+
 // authenticate returns the customer whose key is in the Authorization header. It
 // returns nil if keys are not in use, and on an open route without a valid key.
 func authenticate(t *director.Table, route *director.Route, h http.Header) (*director.Customer, *exchanger.Refusal) {
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -12,6 +12,7 @@
 	"github.com/flamingotack/flamingotack/internal/acceptor"
 	"github.com/flamingotack/flamingotack/internal/attributor"
 	"github.com/flamingotack/flamingotack/internal/director"
+	"github.com/flamingotack/flamingotack/internal/drainer"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/logger"
 	"github.com/flamingotack/flamingotack/internal/meter"
@@ -46,12 +47,14 @@
 
 	fixture struct {
 		*Admitter
-		samples         recordedSamples
-		forwarder       *recordingForwarder
-		rateLimiter     *countingLimiter
-		refuseNewChains bool
-		table           *director.Table
-		countedCalls    []string
+		samples      recordedSamples
+		forwarder    *recordingForwarder
+		rateLimiter  *countingLimiter
+		drain        drainer.Drain
+		table        *director.Table
+		countedCalls []string
+		// run is a run on the local backend server, once the node stops.
+		run *attributor.Run
 	}
 )
 
@@ -62,6 +65,8 @@
 
 func (f *recordingForwarder) CancelAdmission(*exchanger.Call) { f.activeAdmissions-- }
 
+func (f *recordingForwarder) MeanRunTime(string) time.Duration { return 0 }
+
 func (f *recordingForwarder) RecordRequest(service string) { f.services = append(f.services, service) }
 
 func (f *recordingForwarder) Forward(_ context.Context, c *exchanger.Call, _ *director.Route) (*exchanger.Reply, *exchanger.Refusal) {
@@ -97,21 +102,28 @@
 		}}),
 	}
 	f.Admitter = New(Settings{
-		Clock:           timekeeper.SystemClock{},
-		Runs:            &attributor.Attributor{},
-		CountCall:       func(route string) { f.countedCalls = append(f.countedCalls, route) },
-		HeaderNames:     headerNames,
-		Forwarder:       f.forwarder,
-		RefuseNewChains: func() bool { return f.refuseNewChains },
-		Logger:          logger.New(t.Output(), "info", "n"),
-		Meter:           &f.samples,
-		RateLimiter:     f.rateLimiter,
-		LocalService:    "board",
-		Table:           func() *director.Table { return f.table },
+		Clock:        timekeeper.SystemClock{},
+		Runs:         &attributor.Attributor{},
+		CountCall:    func(route string) { f.countedCalls = append(f.countedCalls, route) },
+		HeaderNames:  headerNames,
+		Forwarder:    f.forwarder,
+		Drain:        func() drainer.Drain { return f.drain },
+		Logger:       logger.New(t.Output(), "info", "n"),
+		Meter:        &f.samples,
+		RateLimiter:  f.rateLimiter,
+		LocalService: "board",
+		Table:        func() *director.Table { return f.table },
 	})
 	return f
 }
 
+// stop begins the stop of the node, which ends after timeLeft, while run is in progress.
+func (f *fixture) stop(timeLeft time.Duration) {
+	now := time.Now()
+	f.drain = drainer.Drain{LingerUntil: now.Add(-time.Second), End: now.Add(timeLeft)}
+	f.run = f.Runs.StartRun(now, &exchanger.Call{ID: "0"})
+}
+
 func (f *fixture) request(t *testing.T, head string) *acceptor.Response {
 	t.Helper()
 	h, err := http.ReadRequest(bufio.NewReader(strings.NewReader(strings.ReplaceAll(head, "\n", "\r\n") + "\r\n\r\n")))
@@ -142,8 +154,10 @@
 		{"unknown key, a customer left out", "GET /book/1 HTTP/1.1\nHost: a\nAttempt: 1\nAuthorization: Bearer x", func(f *fixture) { f.table.State.Config.Omitted.Customers = 1 }, 503, ""},
 		{"over the rate", "GET /book/1 HTTP/1.1\nHost: a\nAttempt: 1\nAuthorization: Bearer k1", func(f *fixture) { f.rateLimiter.tokens = 0 }, 429, ""},
 		{"customer without a rate", "GET /book/1 HTTP/1.1\nHost: a\nAttempt: 1\nAuthorization: Bearer k2", func(f *fixture) { f.rateLimiter.tokens = 0 }, 200, "desk"},
-		{"node about to exit", "GET /book/1 HTTP/1.1\nHost: a\nAttempt: 1\nAuthorization: Bearer k1", func(f *fixture) { f.refuseNewChains = true }, 503, ""},
-		{"node about to exit, call of the backend server", "GET /ledger/1 HTTP/1.1\nHost: a\nAttempt: 1", func(f *fixture) { f.refuseNewChains = true }, 200, "desk"},
+		{"node about to exit", "GET /book/1 HTTP/1.1\nHost: a\nAttempt: 1\nAuthorization: Bearer k1", func(f *fixture) { f.stop(time.Minute) }, 503, ""},
+		{"node about to exit, call of the backend server", "GET /ledger/1 HTTP/1.1\nHost: a\nAttempt: 0.1", func(f *fixture) { f.stop(time.Minute) }, 200, "desk"},
+		{"node about to exit, call of the backend server without time left", "GET /ledger/1 HTTP/1.1\nHost: a\nAttempt: 0.1", func(f *fixture) { f.stop(time.Millisecond) }, 503, ""},
+		{"node about to exit, caller without a key", "GET /ledger/1 HTTP/1.1\nHost: a\nAttempt: 1", func(f *fixture) { f.stop(time.Minute); f.Runs.EndRun(time.Now(), f.run) }, 503, ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/attributor/attributor.go
+++ b/internal/attributor/attributor.go
@@ -122,6 +122,14 @@
 	return r
 }
 
+// MayBeInRun reports whether a call with that ID may belong to a run in progress. While no
+// call has been attributed by its ID, each call may belong to any run.
+func (a *Attributor) MayBeInRun(id string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.runOf(id) != nil || !a.attributed && len(a.runs) > 0
+}
+
 // EndCall records that a call of the run has ended, and whether it has failed. It does
 // nothing if r is nil.
 func (a *Attributor) EndCall(now time.Time, r *Run, failed bool) {
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -19,6 +19,7 @@
 	"github.com/flamingotack/flamingotack/internal/admitter"
 	"github.com/flamingotack/flamingotack/internal/attributor"
 	"github.com/flamingotack/flamingotack/internal/director"
+	"github.com/flamingotack/flamingotack/internal/drainer"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/forwarder"
 	"github.com/flamingotack/flamingotack/internal/guardian"
@@ -118,11 +119,10 @@
 		stopping       atomic.Bool
 		// left is set once the node deregisters.
 		left atomic.Bool
-		// refuseNewChains is set once callers have had time to see that the
-		// node is not ready.
-		refuseNewChains atomic.Bool
-		callerListener  net.Listener
-		peerListener    net.Listener
+		// schedule is the schedule of the stop.
+		schedule       publisher.Value[drainer.Drain]
+		callerListener net.Listener
+		peerListener   net.Listener
 	}
 
 	// watchers implements Watchers. The watchers are the delegates.
@@ -173,6 +173,7 @@
 	defer func() { err = errors.Wrapf(err, "set up node %q", s.Name) }()
 	n = &Node{settings: s, backendChanged: make(chan struct{}, 1)}
 	n.table.Publish(director.NewTable(director.State{}))
+	n.schedule.Publish(&drainer.Drain{})
 	n.rewriter = newRewriter(s.Logger.Named("rewriter"), s.Directory.Era, s.Directory.InitialEra, func() int { return len(n.linker.Peers()) + 1 }, n.rereadMembers)
 	n.rewriter.add("member record", n.rewriteMember)
 	n.rewriter.add("learned state", n.rewriteLearnedState)
@@ -331,17 +332,17 @@
 	}, s.Region)
 	n.rateLimiter = admitter.NewDistributedRateLimiter(clock, n.linker, s.RateTolerance)
 	n.admitter = admitter.New(admitter.Settings{
-		Clock:           clock,
-		CountCall:       n.fanOutCounter.CountCall,
-		HeaderNames:     s.HeaderNames,
-		Forwarder:       n.forwarder,
-		RefuseNewChains: n.refuseNewChains.Load,
-		Logger:          s.Logger.Named("admitter"),
-		Meter:           s.Meter,
-		RateLimiter:     n.rateLimiter,
-		Runs:            runs,
-		LocalService:    s.Service,
-		Table:           n.table.Load,
+		Clock:        clock,
+		CountCall:    n.fanOutCounter.CountCall,
+		Drain:        func() drainer.Drain { return *n.schedule.Load() },
+		HeaderNames:  s.HeaderNames,
+		Forwarder:    n.forwarder,
+		Logger:       s.Logger.Named("admitter"),
+		Meter:        s.Meter,
+		RateLimiter:  n.rateLimiter,
+		Runs:         runs,
+		LocalService: s.Service,
+		Table:        n.table.Load,
 	})
 	n.acceptor = &acceptor.Server{
 		Account:        n.account,
--- a/internal/composer/stop.go
+++ b/internal/composer/stop.go
@@ -4,14 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/flamingotack/flamingotack/internal/drainer"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
 
 const (
-	// lingerDuration is how long a stopping node still accepts requests that
-	// start a call chain. Callers probe readiness once a second, so they need
-	// this time to notice.
-	lingerDuration = 2300 * time.Millisecond
 	// graceMargin is the part of the grace period that is reserved for shutdown.
 	graceMargin = 500 * time.Millisecond
 	// drainPollInterval is how often a stopping node checks whether it is idle.
@@ -23,8 +20,8 @@
 )
 
 // drain waits for the end of ctx and then stops the node. The node accepts no
-// calls for its backend server, accepts callers' requests for lingerDuration, and
-// ends when all requests are answered or the grace period is nearly over.
+// calls for its backend server, accepts requests as its schedule says, and ends when all
+// are answered or the grace period is nearly over.
 func (n *Node) drain(ctx, workCtx context.Context) error {
 	select {
 	case <-ctx.Done():
@@ -32,6 +29,8 @@
 		return nil
 	}
 	stopStartedAt := time.Now()
+	schedule := drainer.New(stopStartedAt, stopStartedAt.Add(n.settings.GracePeriod-graceMargin))
+	n.schedule.Publish(&schedule)
 	n.stopping.Store(true)
 	n.settings.Logger.Infof("stop started, grace period %s", n.settings.GracePeriod)
 	backendLeft := n.guardian.Leaving()
@@ -40,11 +39,10 @@
 		n.leaveDirectory(workCtx)
 	}
 	for workCtx.Err() == nil {
-		elapsed := time.Since(stopStartedAt)
+		now := time.Now()
 		load := n.guardian.LoadReport()
-		n.refuseNewChains.Store(elapsed >= lingerDuration)
 		idle := n.acceptor.PendingRequests() == 0 && load.Running == 0 && n.linker.Idle()
-		if elapsed >= n.settings.GracePeriod-graceMargin || elapsed >= lingerDuration && idle {
+		if !now.Before(schedule.End) || !schedule.Lingers(now) && idle {
 			n.shutdown(workCtx)
 			n.settings.Logger.Infof("drain ended after %s with %d requests unanswered", time.Since(stopStartedAt), n.acceptor.PendingRequests())
 			return nil
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -235,6 +235,14 @@
 	return request
 }
 
+// MeanRunTime returns the mean time of a run of a route over the runs of all nodes; 0 if it
+// is not known.
+func (f *Forwarder) MeanRunTime(route string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.meanServiceTime(route)
+}
+
 // routeTime returns the mean time of a run of a route, as known within the last
 // routeTimesInterval; 0 if it is not known. The caller must hold f.mu.
 func (f *Forwarder) routeTime(now time.Time, route string) time.Duration {
