Store crash suspects so that they outlive a start of all nodes

Cause: crash suspects lived in the memory of the nodes alone. A node that starts gets them from the others, so nobody has them if all start at once.

Change: the node whose backend server crashed stores its suspects with two crashes or more beside its own record in the directory. Nodes that join take them over, also from the early read of a registration that is not answered; that read now passes on all that is stored, not the members alone. They are written again after a restore of the directory.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -55,9 +55,9 @@
 		// Watch passes new states to onState until ctx ends. It may skip any
 		// number of states; their positions only grow.
 		Watch(ctx context.Context, w Watchers, onState func(director.State)) error
-		// Join registers the node and returns the members and the learned
-		// state. onMembers gets the members earlier if the registration takes long.
-		Join(ctx context.Context, self linker.Member, onMembers func([]linker.Member)) (JoinResult, error)
+		// Join registers the node and returns what is stored. onEarlyRead gets that earlier
+		// if the registration takes long.
+		Join(ctx context.Context, self linker.Member, onEarlyRead func(JoinResult)) (JoinResult, error)
 		// Era returns the era of the directory, which rises when the directory is
 		// restored from an older copy. WatchEra passes each higher era to onEra until
 		// ctx ends.
@@ -73,6 +73,8 @@
 		Leave(ctx context.Context, self linker.Member) error
 		// SaveLearnedState stores the learned state for nodes that join later.
 		SaveLearnedState(ctx context.Context, state forwarder.LearnedState) error
+		// SaveSuspects replaces the suspects that the named node has stored.
+		SaveSuspects(ctx context.Context, node string, suspects []suspecter.Suspect) error
 		releaser.Store
 	}
 
@@ -82,6 +84,9 @@
 		Members []linker.Member
 		// LearnedState is the learned state that was saved last.
 		LearnedState forwarder.LearnedState
+		// OwnSuspects are the crash suspects that the node has stored before it started
+		// anew, and OtherSuspects those of the other nodes.
+		OwnSuspects, OtherSuspects []suspecter.Suspect
 	}
 
 	// Watchers are the nodes that watch the directory. They relay updates to the
@@ -120,9 +125,11 @@
 		// left is set once the node deregisters.
 		left atomic.Bool
 		// schedule is the schedule of the stop.
-		schedule       publisher.Value[drainer.Drain]
-		callerListener net.Listener
-		peerListener   net.Listener
+		schedule publisher.Value[drainer.Drain]
+		// suspectsChanged signals that the suspects to store may have changed.
+		suspectsChanged chan struct{}
+		callerListener  net.Listener
+		peerListener    net.Listener
 	}
 
 	// watchers implements Watchers. The watchers are the delegates.
@@ -171,13 +178,14 @@
 // New returns a node that listens on its addresses. Run makes it serve.
 func New(s Settings) (n *Node, err error) {
 	defer func() { err = errors.Wrapf(err, "set up node %q", s.Name) }()
-	n = &Node{settings: s, backendChanged: make(chan struct{}, 1)}
+	n = &Node{settings: s, backendChanged: make(chan struct{}, 1), suspectsChanged: make(chan struct{}, 1)}
 	n.table.Publish(director.NewTable(director.State{}))
 	n.schedule.Publish(&drainer.Drain{})
 	n.rewriter = newRewriter(s.Logger.Named("rewriter"), s.Directory.Era, s.Directory.InitialEra, func() int { return len(n.linker.Peers()) + 1 }, n.rereadMembers)
 	n.rewriter.add("member record", n.rewriteMember)
 	n.rewriter.add("learned state", n.rewriteLearnedState)
 	n.rewriter.add("rollout statuses", n.rewriteRolloutStatuses)
+	n.rewriter.add("crash suspects", n.rewriteSuspects)
 	callers, err := listen(s.CallerAddress)
 	if err != nil {
 		return nil, err
@@ -284,7 +292,7 @@
 		Service:     s.Service,
 		Logger:      s.Logger.Named("guardian"),
 		OnRunEnd:    n.fanOutCounter.CountRun,
-		OnSuspects:  func(changed []suspecter.Suspect) { n.linker.SpreadSuspects(changed) },
+		OnSuspects:  n.spreadSuspects,
 		Runs:        runs,
 		Table:       n.table.Load,
 	})
@@ -376,22 +384,27 @@
 	}
 }
 
-// joinDirectory registers the node in the directory, and takes over the members
-// and the learned state from it.
+// joinDirectory registers the node in the directory, takes over what is stored there, and
+// stores the node's crash suspects from then on.
 func (n *Node) joinDirectory(ctx context.Context) error {
-	addMembers := func(members []linker.Member) {
-		n.linker.AddDirectoryMembers(members)
-		n.rateLimiter.SetLimits(n.table.Load())
-	}
-	result, err := n.settings.Directory.Join(ctx, n.self, addMembers)
-	if err == nil {
-		addMembers(result.Members)
-		n.forwarder.Restore(result.LearnedState)
+	result, err := n.settings.Directory.Join(ctx, n.self, n.restore)
+	if err != nil {
+		<-ctx.Done()
+		return nil
 	}
-	<-ctx.Done()
+	n.restore(result)
+	n.saveSuspects(ctx, result.OwnSuspects)
 	return nil
 }
 
+// restore takes over what the directory holds.
+func (n *Node) restore(r JoinResult) {
+	n.linker.AddDirectoryMembers(r.Members)
+	n.rateLimiter.SetLimits(n.table.Load())
+	n.guardian.RestoreSuspects(r.OwnSuspects, r.OtherSuspects)
+	n.forwarder.Restore(r.LearnedState)
+}
+
 func (n *Node) limits() acceptor.Limits {
 	t := n.table.Load()
 	if !t.HasConfig() {
--- a/internal/guardian/crashsuspects.go
+++ b/internal/guardian/crashsuspects.go
@@ -1,9 +1,12 @@
 package guardian
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -36,6 +39,9 @@
 		mu      sync.Mutex
 		tracker suspecter.CrashTracker
 		lastID  uint64
+		// local holds the suspects that this node must store: they ran when its own
+		// backend server crashed.
+		local map[suspecter.Digest]struct{}
 
 		// probing is held during a probe, and probedAt is when the last one ended.
 		probing  sync.Mutex
@@ -44,7 +50,7 @@
 )
 
 func newCrashSuspects(clock timekeeper.Clock) *crashSuspects {
-	return &crashSuspects{clock: clock, tracker: suspecter.CrashTracker{CrashesToIsolate: crashesToIsolate, CrashesToRefuse: crashesToRefuse}}
+	return &crashSuspects{clock: clock, local: map[suspecter.Digest]struct{}{}, tracker: suspecter.CrashTracker{CrashesToIsolate: crashesToIsolate, CrashesToRefuse: crashesToRefuse}}
 }
 
 // MergeSuspects applies suspects that another node sent, and returns those that were news.
@@ -69,6 +75,33 @@
 	return s.tracker.Isolated(s.clock.Now())
 }
 
+// RestoreSuspects applies suspects that were stored before this node started. local are those
+// that it has stored itself.
+func (g *Guardian) RestoreSuspects(local, others []suspecter.Suspect) {
+	g.MergeSuspects(others)
+	g.MergeSuspects(local)
+	s := g.suspects
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addLocal(local)
+}
+
+// LocalSuspects returns those of IsolatedSuspects that ran when the backend server of this
+// node crashed, sorted by digest.
+func (g *Guardian) LocalSuspects() []suspecter.Suspect {
+	s := g.suspects
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	maps.DeleteFunc(s.local, func(d suspecter.Digest, _ struct{}) bool { return !s.tracker.IsSuspect(now, d) })
+	list := slices.DeleteFunc(s.tracker.Isolated(now), func(p suspecter.Suspect) bool {
+		_, local := s.local[p.Digest]
+		return !local
+	})
+	slices.SortFunc(list, func(a, b suspecter.Suspect) int { return bytes.Compare(a.Digest[:], b.Digest[:]) })
+	return list
+}
+
 // SuspectCount returns the number of requests that ran when a backend server crashed and
 // have not ended well since.
 func (g *Guardian) SuspectCount() int {
@@ -122,7 +155,16 @@
 func (s *crashSuspects) recordCrash(incarnation string) (changed []suspecter.Suspect) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.tracker.RecordCrash(s.clock.Now(), incarnation)
+	changed = s.tracker.RecordCrash(s.clock.Now(), incarnation)
+	s.addLocal(changed)
+	return changed
+}
+
+// addLocal adds to the suspects that this node must store. The caller holds the lock.
+func (s *crashSuspects) addLocal(suspects []suspecter.Suspect) {
+	for _, p := range suspects {
+		s.local[p.Digest] = struct{}{}
+	}
 }
 
 // refused reports whether a call is refused on all nodes.
--- a/internal/suspecter/crashtracker.go
+++ b/internal/suspecter/crashtracker.go
@@ -253,6 +253,11 @@
 	return suspects
 }
 
+// IsSuspect reports whether the request with that digest is suspected.
+func (t *CrashTracker) IsSuspect(now time.Time, d Digest) bool {
+	return t.find(now, d) != nil
+}
+
 // SuspectCount returns the number of suspects.
 func (t *CrashTracker) SuspectCount() int {
 	return len(t.suspects)
