Hold no share of a limit before the members are known

Cause: a node that has not received the member list takes itself for the only delegate, and so for the only holder of each rate and of the common retries.

Change: the view of the delegates is incomplete until the whole member list was received. Until then the node holds no share and saves no learned state. A customer that it must refuse gets 503 not_ready instead of 429.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -71,6 +71,9 @@
 		// Charge takes one token from the customer and returns false if the
 		// customer is over its rate.
 		Charge(ctx context.Context, c *director.Customer) (admitted bool)
+		// Ready reports whether a customer that Charge refuses is over its rate. Before
+		// that, the node does not know its share of the rate.
+		Ready() bool
 		// Refund returns the token of a request that did not run.
 		Refund(c *director.Customer)
 	}
@@ -353,13 +356,11 @@
 		}
 	}
 	if rc.customer != nil && rc.customer.RatePerSecond > 0 {
-		charged := a.RateLimiter.Charge(ctx, rc.customer)
-		a.rateReturns.count(a.Clock.Now(), rc.customer.Name, !charged)
-		if !charged {
+		if refusal := a.charge(ctx, rc); refusal != nil {
 			if !rc.call.Nested {
 				a.Forwarder.CancelAdmission(rc.call)
 			}
-			return nil, a.rateRefusal(rc)
+			return nil, refusal
 		}
 	}
 	reply, refusal = a.Forwarder.Forward(ctx, rc.call, rc.route)
@@ -369,6 +370,20 @@
 	return reply, refusal
 }
 
+// charge charges the customer of a request and returns the refusal if that fails.
+func (a *Admitter) charge(ctx context.Context, rc *resolvedCall) *exchanger.Refusal {
+	ready := a.RateLimiter.Ready()
+	charged := a.RateLimiter.Charge(ctx, rc.customer)
+	if !charged && !ready {
+		return notReadyRefusal("the node does not know the other nodes that hold the rate")
+	}
+	a.rateReturns.count(a.Clock.Now(), rc.customer.Name, !charged)
+	if !charged {
+		return a.rateRefusal(rc)
+	}
+	return nil
+}
+
 // inheritChain gives a nested call what the run that makes it knows of the chain.
 func inheritChain(c, caller *exchanger.Call) {
 	if !caller.ChainKnown {
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -40,6 +40,7 @@
 	// countingLimiter admits requests while tokens are left.
 	countingLimiter struct {
 		tokens, refunds int
+		unready         bool
 	}
 
 	// recordedSamples holds the observed samples.
@@ -77,6 +78,8 @@
 	return &exchanger.Reply{Status: 200, Body: []byte("whole")}, nil
 }
 
+func (r *countingLimiter) Ready() bool { return !r.unready }
+
 func (r *countingLimiter) Charge(context.Context, *director.Customer) bool {
 	r.tokens--
 	return r.tokens >= 0
@@ -153,6 +156,7 @@
 		{"no route, one left out", "GET /nothing/1 HTTP/1.1\nHost: a\nAttempt: 1\nAuthorization: Bearer k1", func(f *fixture) { f.table.State.Config.Omitted.Routes = 1 }, 503, ""},
 		{"unknown key, a customer left out", "GET /book/1 HTTP/1.1\nHost: a\nAttempt: 1\nAuthorization: Bearer x", func(f *fixture) { f.table.State.Config.Omitted.Customers = 1 }, 503, ""},
 		{"over the rate", "GET /book/1 HTTP/1.1\nHost: a\nAttempt: 1\nAuthorization: Bearer k1", func(f *fixture) { f.rateLimiter.tokens = 0 }, 429, ""},
+		{"rate is not known yet", "GET /book/1 HTTP/1.1\nHost: a\nAttempt: 1\nAuthorization: Bearer k1", func(f *fixture) { f.rateLimiter.tokens, f.rateLimiter.unready = 0, true }, 503, ""},
 		{"customer without a rate", "GET /book/1 HTTP/1.1\nHost: a\nAttempt: 1\nAuthorization: Bearer k2", func(f *fixture) { f.rateLimiter.tokens = 0 }, 200, "desk"},
 		{"node about to exit", "GET /book/1 HTTP/1.1\nHost: a\nAttempt: 1\nAuthorization: Bearer k1", func(f *fixture) { f.stop(time.Minute) }, 503, ""},
 		{"node about to exit, call of the backend server", "GET /ledger/1 HTTP/1.1\nHost: a\nAttempt: 0.1", func(f *fixture) { f.stop(time.Minute) }, 200, "desk"},
--- a/internal/admitter/limitholders.go
+++ b/internal/admitter/limitholders.go
@@ -23,7 +23,8 @@
 type limitHolders struct {
 	limit            rationer.Limit
 	delegatesVersion uint64
-	// shareCount is the number of holders; 0 if this node is not one of them.
+	// shareCount is the number of holders; 0 if this node is not one of them, or does not
+	// know whether there are others.
 	shareCount int
 	// wholeTokens says that the holders grant whole tokens only.
 	wholeTokens bool
@@ -54,7 +55,7 @@
 			}
 		}
 	}
-	if included {
+	if included && !d.Incomplete {
 		h.shareCount = count
 	} else if len(h.sameDomain)+len(h.otherDomains) == 0 {
 		h.sameDomain = connectedInDomain(d)
--- a/internal/admitter/ratelimiter.go
+++ b/internal/admitter/ratelimiter.go
@@ -123,6 +123,12 @@
 	return l.takeTokens(ctx, charge{key: c.Name, limit: l.customerLimit(c), tokens: 1})
 }
 
+// Ready reports whether the node knows which nodes hold the limits. Before that it holds no
+// share of any, so a customer that is refused need not be over its rate.
+func (l *DistributedRateLimiter) Ready() bool {
+	return !l.peers.Delegates().Incomplete
+}
+
 // ChargeRetry takes the cost of a retry, in requests by service, from the retries that
 // all nodes may make in addition to the retry budget that requests earn. It reports
 // whether every service had enough. If not, it takes nothing.
--- a/internal/admitter/ratelimiter_test.go
+++ b/internal/admitter/ratelimiter_test.go
@@ -27,6 +27,8 @@
 		domains   map[string]string
 		// unreachable nodes grant nothing.
 		unreachable map[string]bool
+		// alone nodes have not received the member list and know no other node.
+		alone map[string]bool
 		// version is the version of the delegates.
 		version uint64
 		// askCount counts the token requests.
@@ -55,6 +57,11 @@
 		LocalNode: selector.Node{Name: n.name, Domain: n.domains[n.name]},
 		Connected: map[string]bool{},
 	}
+	if n.alone[n.name] {
+		d.Incomplete = true
+		d.Delegates = selector.NewRing([]selector.Node{d.LocalNode}).Delegates()
+		return d
+	}
 	for domain, names := range n.delegates.NamesByDomain {
 		for _, name := range names {
 			linked := domain == d.LocalNode.Domain || d.IsDelegate()
@@ -70,6 +77,7 @@
 		limiters:    map[string]*DistributedRateLimiter{},
 		domains:     map[string]string{},
 		unreachable: map[string]bool{},
+		alone:       map[string]bool{},
 	}
 	var all []selector.Node
 	for i := range nodes {
@@ -88,6 +96,30 @@
 	return f
 }
 
+// TestNodeWithoutMemberListHoldsNoShare guards against nodes that take themselves for the only
+// one, and so for the holder of whole rates, until they receive the member list.
+func TestNodeWithoutMemberListHoldsNoShare(t *testing.T) {
+	customer := director.Customer{Name: "pond", RatePerSecond: 40, BurstRequests: 40}
+	f := newLimiterCluster(3, 3, customer)
+	f.alone["n0"] = true
+	f.version++
+	f.clock.Advance(toleranceWindow)
+	limiter := f.limiters["n0"]
+	limiter.tolerance.ExtraRetries = 48
+	if limiter.Ready() || limiter.Charge(t.Context(), &customer) {
+		t.Error("node without the member list admitted a request, want none")
+	}
+	if limiter.ChargeRetry(t.Context(), map[string]float64{"desk": 1}) {
+		t.Error("node without the member list took a common retry, want none")
+	}
+	delete(f.alone, "n0")
+	f.version++
+	f.clock.Advance(time.Second)
+	if !limiter.Ready() || !limiter.Charge(t.Context(), &customer) {
+		t.Error("node with the member list refused a request within the rate")
+	}
+}
+
 // TestRateLimitAcrossNodes sends one customer's requests to random nodes, whose shares
 // are far less than one request per second. It guards against limiting a customer below
 // its rate, also while a failure domain is down, against many messages per request, and
--- a/internal/linker/delegates.go
+++ b/internal/linker/delegates.go
@@ -23,6 +23,9 @@
 	selector.Delegates
 	// Version grows with each change of the fields below.
 	Version uint64
+	// Incomplete reports whether the node has not received the whole member list yet, so
+	// that it may take itself for a delegate, or even for the only one.
+	Incomplete bool
 	// LocalNode is the node whose view this is.
 	LocalNode selector.Node
 	// Connected holds the names of the other delegates to which the node has a session.
@@ -35,8 +38,11 @@
 }
 
 // IsFirstInDomain reports whether the local node is the first delegate of its failure
-// domain.
+// domain. It is false while the view is incomplete.
 func (d *DelegateView) IsFirstInDomain() bool {
+	if d.Incomplete {
+		return false
+	}
 	names := d.NamesByDomain[d.LocalNode.Domain]
 	return len(names) > 0 && names[0] == d.LocalNode.Name
 }
@@ -62,7 +68,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.updateLinkOrders()
-	view := &DelegateView{Delegates: l.delegates, Version: version, LocalNode: toSelectorNode(l.self), Connected: map[string]bool{}}
+	view := &DelegateView{Delegates: l.delegates, Version: version, Incomplete: !l.membersReceived, LocalNode: toSelectorNode(l.self), Connected: map[string]bool{}}
 	for k := range l.delegateLinks() {
 		if k.current.Load() != nil {
 			view.Connected[k.member.Name] = true
--- a/internal/linker/members.go
+++ b/internal/linker/members.go
@@ -67,7 +67,17 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.recordMembersReceived()
+}
+
+// recordMembersReceived records that this node has received the whole member list once, which
+// makes its view of the delegates complete. The caller holds the lock.
+func (l *Linker) recordMembersReceived() {
+	if l.membersReceived {
+		return
+	}
 	l.membersReceived = true
+	l.recordMemberChange()
 }
 
 // Leave notifies the connected nodes that this node leaves for good.
--- a/internal/linker/news.go
+++ b/internal/linker/news.go
@@ -214,12 +214,13 @@
 func (l *Linker) requestPeersIfDifferent(s *session, n *framer.News) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(n.GetPeers()) > 0 {
-		l.membersReceived = true
+	same := n.GetMembers() == l.membersDigest()
+	if same || len(n.GetPeers()) > 0 {
+		l.recordMembersReceived()
 	}
 	now := l.clock.Now()
 	switch {
-	case n.GetMembers() == l.membersDigest(), now.Sub(l.peersRequestedAt) < peersRequestInterval:
+	case same, now.Sub(l.peersRequestedAt) < peersRequestInterval:
 		return
 	case l.membersReceived && now.Sub(s.startedAt) < secondNewsDelay/2:
 		// Changes that explain the difference are mostly still on their way.
