Let no heartbeat shorten the warm-up that a health check told

Cause: heartbeats and health checks both tell the warm-up, and the one that was read last counted. A heartbeat does not say when it was sent.

Change: the server state keeps what the last health check told. A heartbeat that ends the warm-up earlier does not shorten it; if the difference is over 500 ms, another health check decides.

--- a/internal/guardian/availability.go
+++ b/internal/guardian/availability.go
@@ -64,11 +64,11 @@
 		g.state = state
 		defer g.OnChange()
 	}
+	if g.server.NeedsCheck(g.Clock.Now()) {
+		g.requestHealthCheck()
+	}
 	if refusal != nil {
 		g.queue.close(refusal)
-		if g.server.Phase == PhaseUnknown && g.server.LastHeartbeat.ID != "" {
-			g.requestHealthCheck()
-		}
 		return
 	}
 	limits := serverLimits{slots: g.server.LastHeartbeat.Slots, coldUntil: g.server.ColdUntil}
@@ -114,6 +114,7 @@
 	g.queue.reserveHealthCheck()
 	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
 	defer cancel()
+	sentAt := g.Clock.Now()
 	response, err := g.Backend.Send(ctx, &invoker.Request{Method: http.MethodGet, Target: s.HealthPath, Host: g.Backend.Address})
 	if err != nil {
 		g.Logger.Warnf("health check failed: %v", err)
@@ -129,9 +130,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.Logger.Infof("health check of backend server %s succeeded, warmup %s", id, warmup)
-	g.server.ConfirmHealthy(g.Clock.Now(), id, warmup)
+	g.server.ConfirmHealthy(sentAt, g.Clock.Now(), id, warmup)
 	g.applyState()
-	return g.server.Phase != PhaseUnknown
+	return !g.server.NeedsCheck(g.Clock.Now())
 }
 
 // requestHealthCheck wakes Run. It does not block.
@@ -146,7 +147,7 @@
 func (g *Guardian) needsHealthCheck() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.server.Phase == PhaseUnknown && g.server.LastHeartbeat.ID != "" && !g.stopping && !g.evacuated
+	return g.server.NeedsCheck(g.Clock.Now()) && !g.stopping && !g.evacuated
 }
 
 // classifyError turns an error of the connection to the backend server into a refusal.
--- a/internal/guardian/serverstate.go
+++ b/internal/guardian/serverstate.go
@@ -24,6 +24,9 @@
 	minTrustedHeartbeats = 3
 	// MaxWarmup is the longest warm-up that a heartbeat may tell.
 	MaxWarmup = time.Hour
+	// maxWarmupDifference is how much earlier a heartbeat may end the warm-up than the last
+	// health check without being disputed. Answers take that long to arrive.
+	maxWarmupDifference = 500 * time.Millisecond
 )
 
 type (
@@ -57,9 +60,18 @@
 		// Phase never goes back from PhaseDraining or PhaseLeft within an
 		// incarnation.
 		Phase Phase
-		// ColdUntil is when the server's warm-up ends.
+		// ColdUntil is when the server's warm-up ends. It is not before checkedColdUntil.
 		ColdUntil time.Time
 
+		// checkedColdUntil is when the warm-up ends that the last health check of a server
+		// with this ID told. A heartbeat does not say when it was sent, so none ends the
+		// warm-up earlier.
+		checkedColdUntil time.Time
+		// warmupDisputed is set once a heartbeat told a warm-up that ends much earlier than
+		// checkedColdUntil, until the next health check.
+		warmupDisputed bool
+		// heartbeatAt is when LastHeartbeat was received.
+		heartbeatAt time.Time
 		// unconfirmedHeartbeats counts the heartbeats since the incarnation
 		// started or its state became unknown.
 		unconfirmedHeartbeats int
@@ -94,14 +106,26 @@
 	return now.Before(s.ColdUntil)
 }
 
-// ConfirmHealthy applies a successful health check, which marks the server as ready. It
-// does nothing if the check reached another server or if the server is leaving.
-func (s *ServerState) ConfirmHealthy(now time.Time, id string, warmup time.Duration) {
+// NeedsCheck reports whether only a health check can tell whether the server accepts requests,
+// or until when it is cold.
+func (s *ServerState) NeedsCheck(now time.Time) bool {
+	return s.LastHeartbeat.ID != "" && (s.Phase == PhaseUnknown || s.Phase == PhaseReady && s.warmupDisputed && now.Before(s.checkedColdUntil))
+}
+
+// ConfirmHealthy applies a successful health check, which was sent at sentAt and marks the
+// server as ready. It does nothing if the check reached another server or if the server is
+// leaving.
+func (s *ServerState) ConfirmHealthy(sentAt, now time.Time, id string, warmup time.Duration) {
 	if id != s.LastHeartbeat.ID || s.Phase == PhaseDraining || s.Phase == PhaseLeft {
 		return
 	}
 	s.Phase = PhaseReady
-	s.setWarmup(now, warmup)
+	s.warmupDisputed = false
+	s.checkedColdUntil = coldUntil(now, warmup)
+	if s.heartbeatAt.Before(sentAt) || s.checkedColdUntil.After(s.ColdUntil) {
+		// Otherwise the heartbeat may be the later word.
+		s.ColdUntil = s.checkedColdUntil
+	}
 }
 
 // MarkUnknown makes a ready server need confirmation, for example because it refuses
@@ -160,11 +184,13 @@
 // startIncarnation applies the first heartbeat of an incarnation.
 func (s *ServerState) startIncarnation(now time.Time, h Heartbeat) HeartbeatOutcome {
 	replacesKnown := s.LastHeartbeat.ID != ""
+	if h.ID != s.LastHeartbeat.ID {
+		s.checkedColdUntil, s.warmupDisputed = time.Time{}, false
+	}
 	s.LastHeartbeat = h
 	s.lateHeartbeats, s.lateSequence = 0, 0
 	s.unconfirmedHeartbeats = 1
 	s.Phase = PhaseUnknown
-	s.ColdUntil = time.Time{}
 	if replacesKnown {
 		// The incarnation is newer than the last one, so this is not a late
 		// heartbeat of a server that has been replaced.
@@ -194,10 +220,21 @@
 	return HeartbeatAccepted
 }
 
+// setWarmup applies the warm-up that a heartbeat tells, unless it ends before that of the last
+// health check. The heartbeat may then have been sent before the check.
 func (s *ServerState) setWarmup(now time.Time, remaining time.Duration) {
+	s.heartbeatAt = now
+	s.ColdUntil = coldUntil(now, remaining)
+	if s.ColdUntil.Before(s.checkedColdUntil) {
+		s.warmupDisputed = s.warmupDisputed || s.checkedColdUntil.Sub(now)-max(0, remaining) > maxWarmupDifference
+		s.ColdUntil = s.checkedColdUntil
+	}
+}
+
+// coldUntil returns when a warm-up ends; zero if there is none.
+func coldUntil(now time.Time, remaining time.Duration) time.Time {
 	if remaining <= 0 {
-		s.ColdUntil = time.Time{}
-		return
+		return time.Time{}
 	}
-	s.ColdUntil = now.Add(remaining)
+	return now.Add(remaining)
 }
--- a/internal/guardian/serverstate_test.go
+++ b/internal/guardian/serverstate_test.go
@@ -29,11 +29,11 @@
 		}, PhaseUnknown, "a"},
 		{"health check marks the server as ready", func(s *ServerState) {
 			s.ApplyHeartbeat(epoch, ready("a", 1, 1))
-			s.ConfirmHealthy(epoch, "a", 0)
+			s.ConfirmHealthy(epoch, epoch, "a", 0)
 		}, PhaseReady, "a"},
 		{"health check of another server is ignored", func(s *ServerState) {
 			s.ApplyHeartbeat(epoch, ready("a", 1, 1))
-			s.ConfirmHealthy(epoch, "b", 0)
+			s.ConfirmHealthy(epoch, epoch, "b", 0)
 		}, PhaseUnknown, "a"},
 		{"three heartbeats in a row are trusted", func(s *ServerState) {
 			for i := range int64(3) {
@@ -48,17 +48,17 @@
 		{"newer heartbeat does not undo draining", func(s *ServerState) {
 			s.ApplyHeartbeat(epoch, draining("a", 1, 6))
 			s.ApplyHeartbeat(epoch, ready("a", 1, 7))
-			s.ConfirmHealthy(epoch, "a", 0)
+			s.ConfirmHealthy(epoch, epoch, "a", 0)
 		}, PhaseDraining, "a"},
 		{"late heartbeat tells of draining", func(s *ServerState) {
 			s.ApplyHeartbeat(epoch, ready("a", 1, 1))
-			s.ConfirmHealthy(epoch, "a", 0)
+			s.ConfirmHealthy(epoch, epoch, "a", 0)
 			s.ApplyHeartbeat(epoch, ready("a", 1, 1_000_000))
 			s.ApplyHeartbeat(epoch, draining("a", 1, 2))
 		}, PhaseDraining, "a"},
 		{"former incarnation is ignored", func(s *ServerState) {
 			s.ApplyHeartbeat(epoch, ready("b", 2, 1))
-			s.ConfirmHealthy(epoch, "b", 0)
+			s.ConfirmHealthy(epoch, epoch, "b", 0)
 			s.ApplyHeartbeat(epoch, draining("a", 1, 9))
 		}, PhaseReady, "b"},
 		{"same ID, new incarnation", func(s *ServerState) {
@@ -67,18 +67,18 @@
 		}, PhaseReady, "a"},
 		{"heartbeat after departure is ignored", func(s *ServerState) {
 			s.ApplyHeartbeat(epoch, ready("a", 1, 1))
-			s.ConfirmHealthy(epoch, "a", 0)
+			s.ConfirmHealthy(epoch, epoch, "a", 0)
 			s.MarkLeft("a", 1)
 			s.ApplyHeartbeat(epoch, ready("a", 1, 2))
 		}, PhaseLeft, "a"},
 		{"departure of a former incarnation is ignored", func(s *ServerState) {
 			s.ApplyHeartbeat(epoch, ready("a", 2, 1))
-			s.ConfirmHealthy(epoch, "a", 0)
+			s.ConfirmHealthy(epoch, epoch, "a", 0)
 			s.MarkLeft("a", 1)
 		}, PhaseReady, "a"},
 		{"refused connection makes the state unknown", func(s *ServerState) {
 			s.ApplyHeartbeat(epoch, ready("a", 1, 1))
-			s.ConfirmHealthy(epoch, "a", 0)
+			s.ConfirmHealthy(epoch, epoch, "a", 0)
 			s.MarkUnknown()
 		}, PhaseUnknown, "a"},
 	}
@@ -124,3 +124,58 @@
 		t.Error("got a cold server after a heartbeat without warm-up, want a warm one")
 	}
 }
+
+// TestLateHeartbeatDoesNotEndWarmup guards against a heartbeat that was sent before the server
+// turned cold, arrives after a health check that has told so, and ends the warm-up.
+func TestLateHeartbeatDoesNotEndWarmup(t *testing.T) {
+	after := func(millis int) time.Time { return epoch.Add(time.Duration(millis) * time.Millisecond) }
+	heartbeat := func(sequence int64, warmup time.Duration) Heartbeat {
+		return Heartbeat{ID: "a", StartUnixMillis: 1, Sequence: sequence, Slots: 8, WarmupRemaining: warmup}
+	}
+	tests := []struct {
+		name  string
+		apply func(s *ServerState)
+		// cold and check are wanted at 1 s.
+		cold, check bool
+	}{
+		{"no heartbeat since the check", func(*ServerState) {}, true, false},
+		{"heartbeat that tells less", func(s *ServerState) {
+			s.ApplyHeartbeat(after(900), heartbeat(2, 0))
+		}, true, true},
+		{"heartbeat of a later incarnation with the same ID", func(s *ServerState) {
+			s.ApplyHeartbeat(after(900), Heartbeat{ID: "a", StartUnixMillis: 2, Sequence: 1, Slots: 8})
+		}, true, true},
+		{"server with another ID", func(s *ServerState) {
+			s.ApplyHeartbeat(after(900), Heartbeat{ID: "b", StartUnixMillis: 2, Sequence: 1, Slots: 8})
+		}, false, false},
+		{"heartbeat that tells nearly the same", func(s *ServerState) {
+			s.ApplyHeartbeat(after(900), heartbeat(2, 1900*time.Millisecond))
+		}, true, false},
+		{"second check confirms the heartbeat", func(s *ServerState) {
+			s.ApplyHeartbeat(after(900), heartbeat(2, 0))
+			s.ConfirmHealthy(after(910), after(950), "a", 0)
+		}, false, false},
+		{"second check confirms the first", func(s *ServerState) {
+			s.ApplyHeartbeat(after(900), heartbeat(2, 0))
+			s.ConfirmHealthy(after(910), after(950), "a", 2*time.Second)
+		}, true, false},
+		{"heartbeat during the second check tells more", func(s *ServerState) {
+			s.ApplyHeartbeat(after(920), heartbeat(2, 9*time.Second))
+			s.ConfirmHealthy(after(910), after(950), "a", 0)
+		}, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &ServerState{}
+			s.ApplyHeartbeat(epoch.Add(-time.Second), heartbeat(1, 0))
+			s.ConfirmHealthy(epoch.Add(-time.Millisecond), epoch, "a", 3*time.Second)
+			tt.apply(s)
+			if got := s.IsCold(after(1000)); got != tt.cold {
+				t.Errorf("got cold %t, want %t", got, tt.cold)
+			}
+			if got := s.NeedsCheck(after(1000)) && s.Phase == PhaseReady; got != tt.check {
+				t.Errorf("got a disputed warm-up %t, want %t", got, tt.check)
+			}
+		})
+	}
+}
