Take no reset connection for the end of an answer

Cause: the system tells a reset once. The write of the upload got the error, and the read of the answer an end of the stream, which ends an answer without a length.

Change: dialer.Conn asks for the state of the connection at the end of a stream, and returns ECONNRESET if it was reset or closed meanwhile. The invoker and the relayer of flamingotackd use it.

An answer that ends with its stream during an upload is still taken.

--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -185,7 +185,7 @@
 	v.mu.Lock()
 	v.opened++
 	v.mu.Unlock()
-	c = newConn(socket, &v.totalBodyBytes)
+	c = newConn(dialer.WrapConn(socket), &v.totalBodyBytes)
 	v.Account.Register(&c.holder, nil)
 	return c, nil
 }
--- a/internal/invoker/invoker_test.go
+++ b/internal/invoker/invoker_test.go
@@ -255,6 +255,73 @@
 	}
 }
 
+// TestResetDuringUpload guards against an answer without a length that looks whole although the
+// server reset the connection while the request was still being written: the write then gets
+// the error of the reset, and the read an end of the stream.
+func TestResetDuringUpload(t *testing.T) {
+	tests := []struct {
+		name string
+		// end ends the connection behind the body of the answer.
+		end  func(c *net.TCPConn)
+		want bool
+	}{
+		{"reset", func(c *net.TCPConn) { _ = c.SetLinger(0) }, false},
+		{"reset a little later", func(c *net.TCPConn) {
+			time.Sleep(2 * time.Millisecond)
+			_ = c.SetLinger(0)
+		}, false},
+		{"end of the stream", func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			_, _ = io.Copy(io.Discard, c)
+		}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v := newRawInvoker(t, func(c *net.TCPConn) {
+				_, _ = c.Read(make([]byte, 16))
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nAttempt: 1\r\nSeal: s\r\n\r\nboat")
+				tt.end(c)
+			})
+			for range 20 {
+				r := get("1")
+				r.Method, r.Body = http.MethodPost, make([]byte, 8<<20)
+				response, err := v.Send(t.Context(), r)
+				var brokenErr *BrokenConnectionError
+				switch {
+				case tt.want && (err != nil || string(response.Body) != "boat"):
+					t.Fatalf("got %v, %v, want the whole answer", response, err)
+				case !tt.want && !errors.As(err, &brokenErr):
+					t.Fatalf("got %v, %v, want a BrokenConnectionError", response, err)
+				}
+			}
+		})
+	}
+}
+
+// newRawInvoker returns an Invoker whose backend server serves each connection with serve and
+// closes it then.
+func newRawInvoker(t *testing.T, serve func(c *net.TCPConn)) *Invoker {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c.(*net.TCPConn))
+			}()
+		}
+	}()
+	return &Invoker{Address: l.Addr().String(), HeaderNames: headerNames}
+}
+
 func TestErrors(t *testing.T) {
 	t.Run("refused", func(t *testing.T) {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/internal/relayer/httpbackend.go
+++ b/internal/relayer/httpbackend.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/flamingotack/flamingotack/internal/dialer"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/limiter"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
@@ -74,13 +75,13 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "parse URL %q of the backend server", address)
 	}
-	dialer := &pacedDialer{
+	paced := &pacedDialer{
 		dialer: net.Dialer{Timeout: dialTimeout},
 		pacer:  limiter.Pacer{Interval: connectInterval},
 	}
 	return &HTTPBackend{
 		transport: &http.Transport{
-			DialContext:         dialer.dial,
+			DialContext:         paced.dial,
 			DisableCompression:  true,
 			IdleConnTimeout:     idleTimeout,
 			MaxIdleConns:        maxIdleConns,
@@ -166,14 +167,18 @@
 }
 
 // dial waits for the pacer and opens a connection.
-func (d *pacedDialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+func (d *pacedDialer) dial(ctx context.Context, network, address string) (conn net.Conn, err error) {
 	d.mu.Lock()
 	pause := d.pacer.Reserve(time.Now())
 	d.mu.Unlock()
 	if !timekeeper.Sleep(ctx, pause) {
 		return nil, ctx.Err()
 	}
-	return d.dialer.DialContext(ctx, network, address)
+	conn, err = d.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return dialer.WrapConn(conn), nil
 }
 
 // Read reads the body. An error other than io.EOF is an *exchanger.Refusal.
--- a/internal/relayer/oddanswers_test.go
+++ b/internal/relayer/oddanswers_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -48,3 +49,36 @@
 		server.Close()
 	}
 }
+
+// TestResetDuringUpload guards against an answer without a length that looks whole although the
+// server reset the connection while the request was still being written.
+func TestResetDuringUpload(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nboat")
+		time.Sleep(time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	}))
+	defer server.Close()
+	h, err := NewHTTPBackend(server.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer h.Close()
+	for range 20 {
+		answer, err := h.Send(t.Context(), &exchanger.Request{Method: http.MethodPost, Path: "/", Body: make([]byte, 8<<20), Deadline: time.Now().Add(time.Minute)}, "token")
+		if err != nil {
+			continue
+		}
+		body, err := io.ReadAll(answer.Body)
+		answer.Body.Close()
+		if err == nil {
+			t.Errorf("got %q without an error, want one", body)
+		}
+	}
+}
