Refuse answers with blanks in the names of fields

What callers saw (reported by another operator): answers with such a line passed on, or with a body that is not the backend server's.

Cause: the readers of the standard library accept blanks in names and join folded lines, and nothing checked what they returned. "Content-Length : 4" was no length then, and the body went on to the end of the connection.

Change: the invoker reads the lines of heads and trailers itself and takes none that is no field. The relayer of flamingotackd checks the names.

--- a/internal/exchanger/header.go
+++ b/internal/exchanger/header.go
@@ -3,6 +3,9 @@
 import (
 	"net/http"
 	"strings"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -54,6 +57,18 @@
 	return c
 }
 
+// CheckFieldNames returns an error if the name of a field holds a byte that none may hold, such
+// as a blank before the colon. net/http accepts blanks, so that a recipient may read another
+// field than this process.
+func CheckFieldNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Newf("name of header field %q is invalid", name)
+		}
+	}
+	return nil
+}
+
 // StripHopByHop deletes from h the fields that apply to one connection only, including
 // those that its Connection field lists.
 func StripHopByHop(h http.Header) {
--- a/internal/invoker/response.go
+++ b/internal/invoker/response.go
@@ -12,13 +12,18 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/flamingotack/flamingotack/internal/accountant"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 )
 
-// unknownLength is the length of a body that ends with the connection.
-const unknownLength = -1
+const (
+	// unknownLength is the length of a body that ends with the connection.
+	unknownLength = -1
+	// usualFields is the usual number of fields of a response.
+	usualFields = 8
+)
 
 type (
 	// InvalidResponseError reports that the backend server sent bytes that are no HTTP
@@ -80,11 +85,9 @@
 	if h.status, err = parseStatus(rest); err != nil {
 		return nil, err
 	}
-	fields, err := reader.ReadMIMEHeader()
-	if err != nil {
+	if h.header, err = readFields(reader); err != nil {
 		return nil, err
 	}
-	h.header = http.Header(fields)
 	h.close = hasToken(h.header, "Connection", "close") || version == "HTTP/1.0" && !hasToken(h.header, "Connection", "keep-alive")
 	if h.status < http.StatusOK {
 		return h, nil
@@ -92,6 +95,25 @@
 	return h, h.parseFraming(version)
 }
 
+// readFields reads the fields of a header or a trailer up to the empty line behind them. It does
+// not use ReadMIMEHeader, which accepts blanks in names and joins folded lines, so that the
+// server may have meant other fields.
+func readFields(r *textproto.Reader) (fields http.Header, err error) {
+	fields = make(http.Header, usualFields)
+	for {
+		line, err := r.ReadLine()
+		if err != nil || line == "" {
+			return fields, err
+		}
+		name, value, found := strings.Cut(line, ":")
+		value = strings.Trim(value, " \t")
+		if !found || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+			return nil, &InvalidResponseError{Detail: "line of the head that is no field"}
+		}
+		fields.Add(name, value)
+	}
+}
+
 // parseStatus parses the three digits of a status code, which a blank and a reason may follow.
 func parseStatus(text string) (status int, err error) {
 	digits, _, _ := strings.Cut(strings.TrimLeft(text, " "), " ")
@@ -169,7 +191,7 @@
 			return nil, nil, err
 		}
 		c.headReader.remainingBytes = maxHeadBytes
-		_, err = textproto.NewReader(c.reader).ReadMIMEHeader()
+		_, err = readFields(textproto.NewReader(c.reader))
 		return first, more, err
 	case h.length == unknownLength:
 		return c.readUntilEOF(c.reader)
--- a/internal/invoker/response_test.go
+++ b/internal/invoker/response_test.go
@@ -78,6 +78,18 @@
 		{"a length with chunks", "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nboat\r\n0\r\n\r\n", 0},
 		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\nboat\r\n0\r\n\r\n", 0},
 		{"another coding", "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: gzip\r\n\r\nboat", 0},
+		{"folded line", "HTTP/1.1 200 OK\r\nAttempt: 2\r\nSeal: s\r\n Content-Length: 4\r\n\r\nboat", 0},
+		{"line without a colon", "HTTP/1.1 200 OK\r\nOdd\r\n" + whole, 0},
+		{"blank before the colon", "HTTP/1.1 200 OK\r\n" + fields + "Content-Length : 4\r\n\r\nboat", 0},
+		{"blank in the name of a field", "HTTP/1.1 200 OK\r\nOdd name: 1\r\n" + whole, 0},
+		{"tab before the colon", "HTTP/1.1 200 OK\r\nOdd\t: 1\r\n" + whole, 0},
+		{"control byte in the name of a field", "HTTP/1.1 200 OK\r\nOdd\x01: 1\r\n" + whole, 0},
+		{"control byte in the value of a field", "HTTP/1.1 200 OK\r\nOdd: \x01\r\n" + whole, 0},
+		{"carriage return in the name of a field", "HTTP/1.1 200 OK\r\nOdd\r: 1\r\n" + whole, 0},
+		{"blank in the name of the first field", "HTTP/1.1 200 OK\r\n : 1\r\n" + whole, 0},
+		{"field without a name", "HTTP/1.1 200 OK\r\n: 1\r\n" + whole, 0},
+		{"blank in a name of a provisional answer", "HTTP/1.1 103 Early Hints\r\nOdd name: 1\r\n\r\n" + good, 0},
+		{"blank in a name of a trailer", "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\nboat\r\n0\r\nOdd name: 1\r\n\r\n", 0},
 		{"a chunk without a size", "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\nx\r\nboat\r\n0\r\n\r\n", 0},
 	}
 	for _, tt := range tests {
--- a/internal/relayer/httpbackend.go
+++ b/internal/relayer/httpbackend.go
@@ -131,6 +131,11 @@
 		response.Body.Close()
 		return nil, exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the backend server sent bytes that are no answer: %s with status %d", response.Proto, response.StatusCode)
 	}
+	if err := exchanger.CheckFieldNames(response.Header); err != nil {
+		(*socket.Load()).Close()
+		response.Body.Close()
+		return nil, exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the backend server sent bytes that are no answer: %v", err)
+	}
 	return &exchanger.Answer{
 		Status:        response.StatusCode,
 		Header:        exchanger.EndToEndHeader(response.Header),
--- a/internal/relayer/oddanswers_test.go
+++ b/internal/relayer/oddanswers_test.go
@@ -15,7 +15,10 @@
 // TestBytesThatAreNoAnswer guards against callers that get bytes of the backend server which
 // are no answer, and against connections that stay in use after them.
 func TestBytesThatAreNoAnswer(t *testing.T) {
-	for _, status := range []string{"HTTP/1.1 000", "HTTP/1.1 099", "HTTP/1.1 101", "HTTP/1.1 600", "HTTP/1.1 999", "HTTP/1.1 2x0", "HTTP/3.7 200"} {
+	for _, head := range []string{
+		"HTTP/1.1 000 Odd", "HTTP/1.1 099 Odd", "HTTP/1.1 101 Odd", "HTTP/1.1 600 Odd", "HTTP/1.1 999 Odd", "HTTP/1.1 2x0 Odd", "HTTP/3.7 200 Odd",
+		"HTTP/1.1 200 OK\r\nOdd name: 1", "HTTP/1.1 200 OK\r\nContent-Length : 4",
+	} {
 		closed := make(chan struct{})
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			c, _, err := http.NewResponseController(w).Hijack()
@@ -25,7 +28,7 @@
 			}
 			defer close(closed)
 			defer c.Close()
-			_, _ = io.WriteString(c, status+" Odd\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.WriteString(c, head+"\r\nContent-Length: 0\r\n\r\n")
 			_, _ = io.Copy(io.Discard, c)
 		}))
 		h, err := NewHTTPBackend(server.URL)
@@ -35,14 +38,14 @@
 		answer, err := h.Send(t.Context(), &exchanger.Request{Method: http.MethodPost, Path: "/", Deadline: time.Now().Add(time.Minute)}, "token")
 		var refusal *exchanger.Refusal
 		if !errors.As(err, &refusal) || refusal.Ran != exchanger.RanUnknown || refusal.Status != http.StatusBadGateway {
-			t.Errorf("%s: got %v, %v, want a refusal of a request that may have run, with 502", status, answer, err)
+			t.Errorf("%q: got %v, %v, want a refusal of a request that may have run, with 502", head, answer, err)
 			h.Close()
 			server.CloseClientConnections()
 		}
 		select {
 		case <-closed:
 		case <-time.After(10 * time.Second):
-			t.Errorf("%s: connection was kept, want it closed", status)
+			t.Errorf("%q: connection was kept, want it closed", head)
 			server.CloseClientConnections()
 		}
 		h.Close()
