Refuse requests with blanks in the names of fields

What callers could do: hide a request in another. "Content-Length : 4" was no length to the node, which passed the line on to the backend server beside its own length.

Cause: http.ReadRequest accepts blanks in the names of fields; net/http's server checks them itself, and the acceptor did not.

Change: the acceptor answers 400 to such a head, as to other malformed ones.

Test: two cases of TestRequestParsing failed on the code before (200, want 400). A control byte in a name was refused before.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -133,6 +133,9 @@
 		{"chunked body too large", "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n800\r\n" + strings.Repeat("x", 2048) + "\r\n0\r\n\r\n", 413, ""},
 		{"header too large", "GET /a HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 20<<10) + "\r\n\r\n", 431, ""},
 		{"malformed", "GET nothing\r\n\r\n", 400, ""},
+		{"blank before the colon", "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length : 4\r\n\r\nboat", 400, ""},
+		{"blank in the name of a field", "POST /a HTTP/1.1\r\nHost: a\r\nOdd name: 1\r\nContent-Length: 4\r\n\r\nboat", 400, ""},
+		{"control byte in the name of a field", "POST /a HTTP/1.1\r\nHost: a\r\nOdd\x01: 1\r\nContent-Length: 4\r\n\r\nboat", 400, ""},
 		{"expects 100 Continue", "POST /a HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\nboat", 200, "boat"},
 	}
 	for _, tt := range tests {
--- a/internal/acceptor/requestreader.go
+++ b/internal/acceptor/requestreader.go
@@ -98,12 +98,14 @@
 	if err := c.chargeHead(buffered); err != nil {
 		return nil, err
 	}
-	if c.headMeter.ended {
-		return http.ReadRequest(c.reader)
+	if !c.headMeter.ended {
+		c.socketReader.onData = c.chargeHead
+		defer func() { c.socketReader.onData = nil }()
 	}
-	c.socketReader.onData = c.chargeHead
-	defer func() { c.socketReader.onData = nil }()
-	return http.ReadRequest(c.reader)
+	if r, err = http.ReadRequest(c.reader); err != nil {
+		return nil, err
+	}
+	return r, exchanger.CheckFieldNames(r.Header)
 }
 
 // readKnown reads a body of known length.
