Bound the heads of answers in flamingotackd

What callers saw (reported by another operator): a faulty backend server sent bytes without end, and the node that called it kept them until it ran out of memory.

Cause, here: the relayer of flamingotackd left the bound of a head to the library, 10 MiB for each connection. flamingotack-platform has bounds on heads and bodies.

Change: a head may have 64 KiB, as on the other path.

Test: TestLongHeadIsNoAnswer failed on the code before (a head of 128 KiB was taken).

--- a/internal/relayer/httpbackend.go
+++ b/internal/relayer/httpbackend.go
@@ -42,7 +42,9 @@
 	dialTimeout    = time.Second
 	idleTimeout    = 90 * time.Second
 	maxHealthBytes = 64 << 10
-	maxIdleConns   = 4096
+	// maxHeadBytes bounds the head of an answer, with all provisional answers before it.
+	maxHeadBytes = 64 << 10
+	maxIdleConns = 4096
 	// connectInterval is the minimum time between opening two connections.
 	// It is about what one connection costs the backend server.
 	connectInterval = time.Millisecond
@@ -81,11 +83,12 @@
 	}
 	return &HTTPBackend{
 		transport: &http.Transport{
-			DialContext:         paced.dial,
-			DisableCompression:  true,
-			IdleConnTimeout:     idleTimeout,
-			MaxIdleConns:        maxIdleConns,
-			MaxIdleConnsPerHost: maxIdleConns,
+			DialContext:            paced.dial,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeadBytes,
+			IdleConnTimeout:        idleTimeout,
+			MaxIdleConns:           maxIdleConns,
+			MaxIdleConnsPerHost:    maxIdleConns,
 		},
 		baseURL: base,
 	}, nil
--- a/internal/relayer/oddanswers_test.go
+++ b/internal/relayer/oddanswers_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -85,3 +86,36 @@
 		}
 	}
 }
+
+// TestLongHeadIsNoAnswer guards against a node that keeps all that a faulty server sends as the
+// head of an answer.
+func TestLongHeadIsNoAnswer(t *testing.T) {
+	tests := []struct {
+		name      string
+		headBytes int
+		wantErr   bool
+	}{
+		{"head within the limit", maxHeadBytes / 2, false},
+		{"head beyond the limit", 2 * maxHeadBytes, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Long", strings.Repeat("x", tt.headBytes))
+			}))
+			defer server.Close()
+			h, err := NewHTTPBackend(server.URL)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer h.Close()
+			answer, err := h.Send(t.Context(), &exchanger.Request{Method: http.MethodPost, Path: "/", Deadline: time.Now().Add(time.Minute)}, "token")
+			if err == nil {
+				answer.Body.Close()
+			}
+			if (err != nil) != tt.wantErr {
+				t.Errorf("got error %v, want one: %t", err, tt.wantErr)
+			}
+		})
+	}
+}
