Start the shares of limits with the first complete view

Change: the limiter sets its shares anew with the first complete view.

Test: TestNodeWithoutMemberListHoldsNoShare wants a common retry after the member list has arrived; it failed on the code before.

--- a/internal/admitter/ratelimiter.go
+++ b/internal/admitter/ratelimiter.go
@@ -64,6 +64,11 @@
 
 		mu      sync.Mutex
 		buckets rationer.Buckets
+		// limits are those of the active configuration; nil before the first one.
+		limits map[string]rationer.Limit
+		// sharesKnown reports whether the shares were set with a complete view of the
+		// delegates. It stays true.
+		sharesKnown bool
 		// backoffs and holders are by the key of a limit.
 		backoffs             map[string]backoff
 		lastGrantMilliTokens map[grantKey]int64
@@ -182,10 +187,29 @@
 	d := l.peers.Delegates()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.buckets.SetLimits(l.clock.Now(), limits, func(name string) int { return l.holdersOf(name, limits[name], d).shareCount })
+	l.limits = limits
+	l.setShares(d)
 	maps.DeleteFunc(l.holders, func(name string, _ *limitHolders) bool { _, found := limits[name]; return !found })
 }
 
+// setShares sets this node's shares of all limits. With the first complete view of the delegates
+// the shares start as those of a node that has just started. The caller holds the lock.
+func (l *DistributedRateLimiter) setShares(d *linker.DelegateView) {
+	if !l.sharesKnown && !d.Incomplete {
+		l.sharesKnown = true
+		l.buckets = rationer.Buckets{}
+	}
+	l.buckets.SetLimits(l.clock.Now(), l.limits, func(name string) int { return l.holdersOf(name, l.limits[name], d).shareCount })
+}
+
+// learnShares sets the shares if the view of the delegates has become complete. The caller holds
+// the lock.
+func (l *DistributedRateLimiter) learnShares(d *linker.DelegateView) {
+	if !l.sharesKnown && !d.Incomplete && l.limits != nil {
+		l.setShares(d)
+	}
+}
+
 // borrow asks holders for tokens until enough returns true or the timeout ends. It reports
 // whether enough returned true. Holders with the largest last grants are asked first, as in
 // work stealing, where idle workers ask the busiest.
@@ -315,6 +339,7 @@
 func (l *DistributedRateLimiter) takeTokens(ctx context.Context, c charge) bool {
 	d := l.peers.Delegates()
 	l.mu.Lock()
+	l.learnShares(d)
 	h := l.holdersOf(c.key, c.limit, d)
 	taken := l.takeLocal(c, h)
 	l.mu.Unlock()
@@ -341,6 +366,7 @@
 	d := l.peers.Delegates()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.learnShares(d)
 	h := l.holders[key]
 	if h == nil || h.delegatesVersion == d.Version {
 		return h
--- a/internal/admitter/ratelimiter_test.go
+++ b/internal/admitter/ratelimiter_test.go
@@ -104,8 +104,9 @@
 	f.alone["n0"] = true
 	f.version++
 	f.clock.Advance(toleranceWindow)
-	limiter := f.limiters["n0"]
-	limiter.tolerance.ExtraRetries = 48
+	limiter := NewDistributedRateLimiter(f.clock, clusterPeers{f, "n0"}, RateTolerance{Window: toleranceWindow, ExtraRetries: 48})
+	f.limiters["n0"] = limiter
+	limiter.SetLimits(director.NewTable(director.State{Revision: 1, Config: &director.Config{Customers: []director.Customer{customer}, Services: []director.Service{{Name: "desk"}}}}))
 	if limiter.Ready() || limiter.Charge(t.Context(), &customer) {
 		t.Error("node without the member list admitted a request, want none")
 	}
@@ -118,6 +119,9 @@
 	if !limiter.Ready() || !limiter.Charge(t.Context(), &customer) {
 		t.Error("node with the member list refused a request within the rate")
 	}
+	if !limiter.ChargeRetry(t.Context(), map[string]float64{"desk": 1}) {
+		t.Error("node with the member list took no common retry, which a node that has just started may")
+	}
 }
 
 // TestRateLimitAcrossNodes sends one customer's requests to random nodes, whose shares
