--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -388,12 +388,11 @@
 // stores the node's crash suspects from then on.
 func (n *Node) joinDirectory(ctx context.Context) error {
 	result, err := n.settings.Directory.Join(ctx, n.self, n.restore)
-	if err != nil {
-		<-ctx.Done()
-		return nil
+	if err == nil {
+		n.restore(result)
+		n.saveSuspects(ctx, result.OwnSuspects)
 	}
-	n.restore(result)
-	n.saveSuspects(ctx, result.OwnSuspects)
+	<-ctx.Done()
 	return nil
 }
 
