--- a/internal/composer/crash_suspects.go
+++ b/internal/composer/crash_suspects.go
@@ -35,9 +35,9 @@
 // ends, for nodes that start when no running node knows them, such as after a power loss.
 // stored are those that it holds already.
 func (n *Node) saveSuspects(ctx context.Context, stored []suspecter.Suspect) {
-	stored = suspectsToStore(stored)
+	stored = latestSuspects(stored)
 	for ctx.Err() == nil {
-		if local := suspectsToStore(n.guardian.LocalSuspects()); !sameSuspects(local, stored) && n.writeSuspects(ctx, local) {
+		if local := n.suspectsToStore(); !sameSuspects(local, stored) && n.storeSuspects(ctx, local) {
 			stored = local
 			timekeeper.Sleep(ctx, minSuspectWriteInterval)
 		}
@@ -55,11 +55,9 @@
 	}
 }
 
-// writeSuspects writes the suspects to the directory and reports whether that succeeded.
-func (n *Node) writeSuspects(ctx context.Context, suspects []suspecter.Suspect) (written bool) {
-	ctx, cancel := context.WithTimeout(ctx, suspectWriteTimeout)
-	defer cancel()
-	if err := n.settings.Directory.SaveSuspects(ctx, n.self.Name, suspects); err != nil {
+// storeSuspects writes the suspects to the directory and reports whether that succeeded.
+func (n *Node) storeSuspects(ctx context.Context, suspects []suspecter.Suspect) (stored bool) {
+	if err := n.writeSuspects(ctx, suspects); err != nil {
 		n.settings.Logger.Warnf("save of %d crash suspects failed: %v", len(suspects), err)
 		return false
 	}
@@ -69,17 +67,25 @@
 
 // rewriteSuspects writes the suspects again after the directory was restored.
 func (n *Node) rewriteSuspects(ctx context.Context) error {
-	suspects := suspectsToStore(n.guardian.LocalSuspects())
+	suspects := n.suspectsToStore()
 	if len(suspects) == 0 {
 		return errNothingToRewrite
 	}
+	return n.writeSuspects(ctx, suspects)
+}
+
+func (n *Node) writeSuspects(ctx context.Context, suspects []suspecter.Suspect) error {
 	ctx, cancel := context.WithTimeout(ctx, suspectWriteTimeout)
 	defer cancel()
 	return n.settings.Directory.SaveSuspects(ctx, n.self.Name, suspects)
 }
 
-// suspectsToStore returns at most maxStoredSuspects of the suspects, those that end last.
-func suspectsToStore(suspects []suspecter.Suspect) []suspecter.Suspect {
+func (n *Node) suspectsToStore() []suspecter.Suspect {
+	return latestSuspects(n.guardian.LocalSuspects())
+}
+
+// latestSuspects returns at most maxStoredSuspects of the suspects, those that end last first.
+func latestSuspects(suspects []suspecter.Suspect) []suspecter.Suspect {
 	latest := slices.Clone(suspects)
 	slices.SortStableFunc(latest, func(a, b suspecter.Suspect) int { return b.ExpiresAt.Compare(a.ExpiresAt) })
 	return latest[:min(len(latest), maxStoredSuspects)]
--- a/internal/invoker/invoker_test.go
+++ b/internal/invoker/invoker_test.go
@@ -23,33 +23,18 @@
 // The connection stays open if respond returns true. number counts the requests from 1.
 func newTestInvoker(t *testing.T, respond func(c net.Conn, r *http.Request, number int) bool) *Invoker {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
 	var number atomic.Int64
-	go func() {
-		for {
-			c, err := l.Accept()
+	v := newRawInvoker(t, func(c *net.TCPConn) {
+		for r := bufio.NewReader(c); ; {
+			request, err := http.ReadRequest(r)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				for r := bufio.NewReader(c); ; {
-					request, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					if !respond(c, request, int(number.Add(1))) {
-						return
-					}
-				}
-			}()
+			if !respond(c, request, int(number.Add(1))) {
+				return
+			}
 		}
-	}()
-	v := &Invoker{Address: l.Addr().String(), HeaderNames: headerNames}
+	})
 	t.Cleanup(v.Close)
 	return v
 }
