Refuse answers in whose heads a line ends with a line feed alone

What callers saw: 200 with the seal of the backend server and a body that was not its body, where the name of a field began with a line feed. Without a length before it: 504 after the whole timeout. On two nodes, at both, on new and kept connections and for nested calls.

Cause: textproto.Reader.ReadLine ends a line at a line feed with or without a carriage return. RFC 9112, section 2.2 leaves that to the recipient, so the node and the server may mean different heads: what the server wrote as one field was the end of the head, or two fields.

Change: invoker reads the lines of heads and trailers itself and wants CRLF. It is one function for all that it reads, so the attempt ends at once with 502, and the connection is closed. An answer with CRLF is read as before.

--- a/internal/invoker/response.go
+++ b/internal/invoker/response.go
@@ -1,12 +1,12 @@
 package invoker
 
 import (
+	"bufio"
 	"io"
 	"math"
 	"net"
 	"net/http"
 	"net/http/httputil"
-	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
@@ -72,8 +72,7 @@
 // which takes each version and number for one of a response and ignores a length beside
 // chunks.
 func (c *conn) readHead() (h *responseHead, err error) {
-	reader := textproto.NewReader(c.reader)
-	line, err := reader.ReadLine()
+	line, err := readLine(c.reader)
 	if err != nil {
 		return nil, err
 	}
@@ -85,7 +84,7 @@
 	if h.status, err = parseStatus(rest); err != nil {
 		return nil, err
 	}
-	if h.header, err = readFields(reader); err != nil {
+	if h.header, err = readFields(c.reader); err != nil {
 		return nil, err
 	}
 	h.close = hasToken(h.header, "Connection", "close") || version == "HTTP/1.0" && !hasToken(h.header, "Connection", "keep-alive")
@@ -95,13 +94,31 @@
 	return h, h.parseFraming(version)
 }
 
+// readLine reads a line of a head up to the CRLF behind it and returns it without that. A
+// recipient may end a line at a line feed alone or not (RFC 9112, section 2.2), so such a line
+// is an *InvalidResponseError.
+func readLine(r *bufio.Reader) (line string, err error) {
+	line, err = r.ReadString('\n')
+	switch {
+	case errors.Is(err, io.EOF) && line != "":
+		return "", io.ErrUnexpectedEOF
+	case err != nil:
+		return "", err
+	}
+	line, ended := strings.CutSuffix(line, "\r\n")
+	if !ended {
+		return "", &InvalidResponseError{Detail: "line of the head that ends with a line feed alone"}
+	}
+	return line, nil
+}
+
 // readFields reads the fields of a header or a trailer up to the empty line behind them. It does
-// not use ReadMIMEHeader, which accepts blanks in names and joins folded lines, so that the
+// not use net/textproto, which accepts blanks in names and joins folded lines, so that the
 // server may have meant other fields.
-func readFields(r *textproto.Reader) (fields http.Header, err error) {
+func readFields(r *bufio.Reader) (fields http.Header, err error) {
 	fields = make(http.Header, usualFields)
 	for {
-		line, err := r.ReadLine()
+		line, err := readLine(r)
 		if err != nil || line == "" {
 			return fields, err
 		}
@@ -191,7 +208,7 @@
 			return nil, nil, err
 		}
 		c.headReader.remainingBytes = maxHeadBytes
-		_, err = readFields(textproto.NewReader(c.reader))
+		_, err = readFields(c.reader)
 		return first, more, err
 	case h.length == unknownLength:
 		return c.readUntilEOF(c.reader)
--- a/internal/invoker/response_test.go
+++ b/internal/invoker/response_test.go
@@ -90,6 +90,16 @@
 		{"field without a name", "HTTP/1.1 200 OK\r\n: 1\r\n" + whole, 0},
 		{"blank in a name of a provisional answer", "HTTP/1.1 103 Early Hints\r\nOdd name: 1\r\n\r\n" + good, 0},
 		{"blank in a name of a trailer", "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\nboat\r\n0\r\nOdd name: 1\r\n\r\n", 0},
+		{"line feed before the name of a field", "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 2\r\n\nOdd: 1\r\n\r\nok", 0},
+		{"line feed before the name of a field, without a length", "HTTP/1.1 200 OK\r\n" + fields + "\nOdd: 1\r\n\r\nboat", 0},
+		{"line feed alone behind a field", "HTTP/1.1 200 OK\r\nOdd: 1\nOther: 2\r\n" + whole, 0},
+		{"line feed alone behind the status line", "HTTP/1.1 200 OK\n" + whole, 0},
+		{"line feed alone behind the last field", "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\n\r\nboat", 0},
+		{"line feed alone behind the head", "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\n\nboat", 0},
+		{"line feed alone in a provisional answer", "HTTP/1.1 103 Early Hints\nLink: </a>\r\n\r\n" + good, 0},
+		{"line feed alone in a trailer", "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\nboat\r\n0\r\nSum: 1\n\r\n", 0},
+		{"line feed alone behind the last chunk", "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\nboat\r\n0\r\n\n", 0},
+		{"line feed alone behind the size of a chunk", "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\nboat\r\n0\r\n\r\n", 0},
 		{"a chunk without a size", "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\nx\r\nboat\r\n0\r\n\r\n", 0},
 	}
 	for _, tt := range tests {
