Reset the connection of a caller of HTTP/1.0 when its answer breaks off

What callers saw: through flamingotackd, the first parts of an answer without a length as the whole answer, if they speak HTTP/1.0.

Cause: receiver ended the connection in order. An answer without a length ends with its connection in HTTP/1.0, so an ordinary end is that of the answer. With HTTP/1.1 the last chunk is missing.

Change: the connection is reset instead, below TLS where that is used, since closing it there announces the end. Callers of HTTP/1.1 and whole answers are as before.

| where answers are written | a cut answer for a caller of HTTP/1.0 | | --- | --- | | flamingotackd, callers and calls of the backend server (receiver) | looked whole, is reset | | flamingotack-platform (acceptor) | never: it has the whole answer and its length first | | links between nodes (dispatcher, linker) | never: the length stands at the end |

--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -125,9 +125,7 @@
 	}
 	v.OnOutcome(outcome)
 	if err != nil && status != 0 {
-		// The caller already has part of the answer, so only cutting the
-		// connection shows that the answer is incomplete.
-		panic(http.ErrAbortHandler)
+		abortAnswer(c)
 	}
 }
 
--- a/internal/receiver/writer.go
+++ b/internal/receiver/writer.go
@@ -1,10 +1,12 @@
 package receiver
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 
@@ -54,6 +56,34 @@
 	return a.Status, copyBody(w, a.Body, first)
 }
 
+// abortAnswer ends the connection to a caller that has part of an answer, so that the caller
+// sees that the answer is incomplete. It panics with http.ErrAbortHandler.
+func abortAnswer(c echo.Context) {
+	if !c.Request().ProtoAtLeast(1, 1) {
+		// An answer without a length ends with the connection in HTTP/1.0, so a caller would
+		// take an ordinary end for that of the answer.
+		resetConnection(c.Response())
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection resets the connection of a request. It does nothing if the server does not
+// hand the connection over.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if secure, ok := conn.(*tls.Conn); ok {
+		// Close of a TLS connection would announce an ordinary end.
+		conn = secure.NetConn()
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 func callerGoneRefusal() error {
 	return exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonCanceled, "the caller is gone")
 }
