Move the reader of answers' heads into a package

Cause: what counts as an answer was decided in invoker, which flamingotackd and the client of the store do not use. They leave it to net/http, which takes more.

Change: package decoder has the reader of status lines, fields and framing as invoker had it; nothing else changes. Tests at the reader: each byte as the first, a middle and the last one of a name, each status from 000 to 999, whole heads, and a fuzz target.

--- a/internal/guardian/availability.go
+++ b/internal/guardian/availability.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/flamingotack/flamingotack/internal/decoder"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/invoker"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
@@ -170,7 +171,7 @@
 	if errors.Is(err, invoker.ErrMemoryShort) {
 		return exchanger.LocalMemoryShort("memory of the node is short for the answer of the backend server")
 	}
-	var invalid *invoker.InvalidResponseError
+	var invalid *decoder.InvalidResponseError
 	if errors.As(err, &invalid) {
 		g.Logger.Warnf("backend server %s sent bytes that are no answer: %s", g.instanceID(), invalid.Detail)
 	}
--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/flamingotack/flamingotack/internal/accountant"
+	"github.com/flamingotack/flamingotack/internal/decoder"
 	"github.com/flamingotack/flamingotack/internal/dialer"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 )
@@ -139,7 +140,7 @@
 	}
 	if err != nil {
 		c.socket.Close()
-		var invalid *InvalidResponseError
+		var invalid *decoder.InvalidResponseError
 		if errors.As(err, &invalid) {
 			v.InvalidResponses.Add(1)
 		}
