Check the heads of answers in flamingotackd as in flamingotack-platform

What callers saw: through flamingotackd, 200 with a part of the head as the body where a name begins with a line feed; fields that the server did not mean, from folded lines and from lines that end with a line feed alone; 200 for a length beside chunks and for two equal lengths; 204 with a length. At the node of the server and across a link.

Cause: relayer reads with net/http, which ends lines at a line feed alone, joins folded ones and drops a length beside chunks or a second equal one before a check can see them.

Change: decoder.Transport keeps the bytes of each head as they arrive, at most 64 KiB, and has decoder.ReadHead, the reader of invoker, check them. Its connections are those of dialer.WrapConn, so that no reset passes for an end. Names of a trailer are checked as the answer ends. Bodies are passed on as they arrive, as before.

--- a/brokenanswers_test.go
+++ b/brokenanswers_test.go
@@ -114,6 +114,78 @@
 	}
 }
 
+// TestBytesThatAreNoAnswerReachNoCaller guards against callers, beside the node of a backend
+// server in trouble and across a link, that get bytes of the server which are no answer, or a part
+// of an answer whose connection was reset while the request was being written. A whole answer
+// that comes so early reaches the caller.
+func TestBytesThatAreNoAnswerReachNoCaller(t *testing.T) {
+	const (
+		ok    = "HTTP/1.1 200 OK\r\n"
+		whole = "Content-Length: 4\r\n\r\nboat"
+	)
+	reset := func(c *net.TCPConn) {
+		time.Sleep(2 * time.Millisecond)
+		_ = c.SetLinger(0)
+	}
+	endStream := func(c *net.TCPConn) {
+		_ = c.CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
+	}
+	tests := []struct {
+		name, response string
+		// end ends the connection behind the response.
+		end func(c *net.TCPConn)
+		// answered says that the response is an answer. cut says that it begins like one, so that
+		// the caller may also get a connection that breaks off.
+		answered, cut bool
+	}{
+		{"000", "HTTP/1.1 000 Odd\r\n" + whole, endStream, false, false},
+		{"blank in a name", ok + "Odd name: 1\r\n" + whole, endStream, false, false},
+		{"blank before the colon", ok + "Content-Length : 4\r\n" + whole, endStream, false, false},
+		{"control byte in a name", ok + "Odd\x01: 1\r\n" + whole, endStream, false, false},
+		{"line feed before a name", ok + "Content-Length: 2\r\n\nOdd: 1\r\n\r\nok", endStream, false, false},
+		{"line feed alone behind a field", ok + "Odd: 1\nOther: 2\r\n" + whole, endStream, false, false},
+		{"folded line", ok + "Odd: 1\r\n Other: 2\r\n" + whole, endStream, false, false},
+		{"a length with chunks", ok + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nboat\r\n0\r\n\r\n", endStream, false, false},
+		{"reset without a length", ok + "\r\nboat", reset, false, true},
+		{"whole without a length", ok + "\r\nboat", endStream, true, false},
+		{"whole with a length", ok + whole, endStream, true, false},
+	}
+	c, s := newBrokenCluster(t)
+	for _, tt := range tests {
+		odd := func(c *net.TCPConn) {
+			_, _ = io.WriteString(c, tt.response)
+			tt.end(c)
+		}
+		s.odd.Store(&odd)
+		for _, n := range c.nodes {
+			for _, size := range []int{100, 900_000} {
+				t.Run(fmt.Sprintf("%s at %s, upload of %d bytes", tt.name, n.Settings().Name, size), func(t *testing.T) {
+					awaitAnswer(t, n)
+					r := request(t, n, http.MethodPost, "/slotboard/odd", testKey, strings.Repeat("b", size))
+					response, err := http.DefaultClient.Do(r)
+					if err != nil && tt.cut {
+						return
+					}
+					if err != nil {
+						t.Fatal(err)
+					}
+					defer response.Body.Close()
+					body, err := io.ReadAll(response.Body)
+					switch {
+					case tt.answered && (err != nil || response.StatusCode != http.StatusOK || string(body) != "boat"):
+						t.Errorf("got %d, %q, error %v, want the whole answer", response.StatusCode, body, err)
+					case tt.cut && response.StatusCode == http.StatusOK && err == nil:
+						t.Errorf("got %q without an error, want one", body)
+					case !tt.answered && !tt.cut && response.StatusCode != http.StatusBadGateway:
+						t.Errorf("got %d with body %q, want 502", response.StatusCode, body)
+					}
+				})
+			}
+		}
+	}
+}
+
 // sendRaw sends a request in a version of HTTP over a new connection. The error says that the
 // answer has no end.
 func sendRaw(t *testing.T, n *Node, version, path string) (status int, body string, err error) {
--- /dev/null
+++ b/internal/decoder/transport_test.go
@@ -0,0 +1,67 @@
+package decoder
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+)
+
+// TestTransport checks that whole responses pass and that bytes which are none do not, with and
+// without TLS, on new and on kept connections, and for a HEAD, whose response only announces
+// a body.
+func TestTransport(t *testing.T) {
+	tests := []struct {
+		name, method, response string
+		want                   bool
+	}{
+		{"whole", http.MethodGet, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nboat", true},
+		{"folded line", http.MethodGet, "HTTP/1.1 200 OK\r\nOdd: 1\r\n 2\r\nContent-Length: 4\r\n\r\nboat", false},
+		{"line feed alone", http.MethodGet, "HTTP/1.1 200 OK\nContent-Length: 4\r\n\r\nboat", false},
+		{"204 with a length", http.MethodGet, "HTTP/1.1 204 Odd\r\nContent-Length: 4\r\n\r\nboat", false},
+		{"HEAD", http.MethodHead, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", true},
+	}
+	for _, tt := range tests {
+		for _, secure := range []bool{false, true} {
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/odd" {
+					return
+				}
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer c.Close()
+				_, _ = io.WriteString(c, tt.response)
+			}))
+			base := &http.Transport{}
+			if secure {
+				server.StartTLS()
+				base.TLSClientConfig = server.Client().Transport.(*http.Transport).TLSClientConfig
+			} else {
+				server.Start()
+			}
+			transport := NewTransport(base, (&net.Dialer{}).DialContext)
+			for _, path := range []string{"/odd", "/", "/odd"} {
+				request, err := http.NewRequestWithContext(t.Context(), tt.method, server.URL+path, http.NoBody)
+				if err != nil {
+					t.Fatal(err)
+				}
+				response, err := transport.RoundTrip(request)
+				if err == nil {
+					_, _ = io.Copy(io.Discard, response.Body)
+					response.Body.Close()
+				}
+				var invalid *InvalidResponseError
+				if want := tt.want || path == "/"; (err == nil) != want || !want && !errors.As(err, &invalid) {
+					t.Errorf("%s, TLS %t, %s: got error %v, want a response: %t", tt.name, secure, path, err, want)
+				}
+			}
+			transport.CloseIdleConnections()
+			server.Close()
+		}
+	}
+}
--- a/internal/relayer/httpbackend.go
+++ b/internal/relayer/httpbackend.go
@@ -16,7 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/flamingotack/flamingotack/internal/dialer"
+	"github.com/flamingotack/flamingotack/internal/decoder"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/limiter"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
@@ -53,7 +53,7 @@
 type (
 	// HTTPBackend is the Backend for a backend server that speaks HTTP.
 	HTTPBackend struct {
-		transport *http.Transport
+		transport *decoder.Transport
 		baseURL   *url.URL
 	}
 
@@ -64,9 +64,9 @@
 		pacer  limiter.Pacer
 	}
 
-	// answerBody converts read errors of an answer's body into refusals.
+	// answerBody is the body of an answer. It converts read errors into refusals.
 	answerBody struct {
-		io.ReadCloser
+		response *http.Response
 	}
 )
 
@@ -82,14 +82,13 @@
 		pacer:  limiter.Pacer{Interval: connectInterval},
 	}
 	return &HTTPBackend{
-		transport: &http.Transport{
-			DialContext:            paced.dial,
+		transport: decoder.NewTransport(&http.Transport{
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxHeadBytes,
 			IdleConnTimeout:        idleTimeout,
 			MaxIdleConns:           maxIdleConns,
 			MaxIdleConnsPerHost:    maxIdleConns,
-		},
+		}, paced.dial),
 		baseURL: base,
 	}, nil
 }
@@ -121,28 +120,18 @@
 
 // Send sends a request to the backend server, as Backend describes.
 func (h *HTTPBackend) Send(ctx context.Context, r *exchanger.Request, token string) (*exchanger.Answer, error) {
-	var socket atomic.Pointer[net.Conn]
+	var connected atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) { socket.Store(&i.Conn) },
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
 	response, err := h.transport.RoundTrip(h.newRequest(traced, r, token)) //nolint:bodyclose // The answer's receiver closes it.
 	if err != nil {
-		return nil, refusalOf(ctx, err, socket.Load() != nil)
-	}
-	if response.ProtoMajor != 1 || !exchanger.IsAnswerStatus(response.StatusCode) {
-		(*socket.Load()).Close()
-		response.Body.Close()
-		return nil, exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the backend server sent bytes that are no answer: %s with status %d", response.Proto, response.StatusCode)
-	}
-	if err := exchanger.CheckFieldNames(response.Header); err != nil {
-		(*socket.Load()).Close()
-		response.Body.Close()
-		return nil, exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the backend server sent bytes that are no answer: %v", err)
+		return nil, refusalOf(ctx, err, connected.Load())
 	}
 	return &exchanger.Answer{
 		Status:        response.StatusCode,
 		Header:        exchanger.EndToEndHeader(response.Header),
-		Body:          answerBody{response.Body},
+		Body:          answerBody{response},
 		UnusedRetries: func() int { return 0 },
 	}, nil
 }
@@ -182,17 +171,21 @@
 	if !timekeeper.Sleep(ctx, pause) {
 		return nil, ctx.Err()
 	}
-	conn, err = d.dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return dialer.WrapConn(conn), nil
+	return d.dialer.DialContext(ctx, network, address)
+}
+
+// Close closes the body.
+func (b answerBody) Close() error {
+	return b.response.Body.Close()
 }
 
 // Read reads the body. An error other than io.EOF is an *exchanger.Refusal.
 func (b answerBody) Read(p []byte) (n int, err error) {
-	n, err = b.ReadCloser.Read(p)
-	if err != nil && !errors.Is(err, io.EOF) {
+	n, err = b.response.Body.Read(p)
+	if errors.Is(err, io.EOF) && exchanger.CheckFieldNames(b.response.Trailer) == nil {
+		return n, err
+	}
+	if err != nil {
 		err = exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the backend server's answer broke off")
 	}
 	return n, err
@@ -224,5 +217,9 @@
 	if errors.Is(err, context.Canceled) {
 		return exchanger.Unknown(http.StatusGatewayTimeout, exchanger.ReasonCanceled, "the request was canceled while it ran")
 	}
+	var invalid *decoder.InvalidResponseError
+	if errors.As(err, &invalid) {
+		return exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the backend server sent %v", invalid)
+	}
 	return exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonBroken, "the connection to the backend server broke")
 }
