--- a/internal/decoder/transport.go
+++ b/internal/decoder/transport.go
@@ -24,12 +24,14 @@
 	// anybody can see them. No reset passes for the end of a response. Create it with
 	// NewTransport. It is safe for concurrent use.
 	Transport struct {
+		// base opens only connections that are a *recordingConn.
 		base *http.Transport
 	}
 )
 
 // NewTransport returns a Transport that takes ownership of base and opens its connections with
-// dial. A limit of base on the bytes of a head bounds what is kept for the check.
+// dial. base must not use a proxy. Its limit of the bytes of a head bounds what is kept for the
+// check.
 func NewTransport(base *http.Transport, dial DialFunc) *Transport {
 	base.DialContext = func(ctx context.Context, network, address string) (conn net.Conn, err error) {
 		if conn, err = dial(ctx, network, address); err != nil {
