Send health checks answers that would be good but for their heads

Cause: the bodies of TestBytesThatAreNoAnswer were no answer of a health check, so that a check failed for its body alone.

Change: the bodies tell that the server is ready.

--- a/internal/relayer/oddanswers_test.go
+++ b/internal/relayer/oddanswers_test.go
@@ -21,11 +21,14 @@
 	name, response string
 }
 
-// brokenAnswers are bytes that are no answer.
+// brokenAnswers are bytes that are no answer. Otherwise they would be a good one, of a health check
+// too.
 func brokenAnswers() []brokenAnswer {
 	const (
-		ok    = "HTTP/1.1 200 OK\r\n"
-		whole = "Content-Length: 4\r\n\r\nboat"
+		ok     = "HTTP/1.1 200 OK\r\n"
+		health = `{"ready":true}`
+		whole  = "Content-Length: 14\r\n\r\n" + health
+		chunks = "e\r\n" + health + "\r\n0\r\n\r\n"
 	)
 	return []brokenAnswer{
 		{"000", "HTTP/1.1 000 Odd\r\n" + whole},
@@ -36,18 +39,18 @@
 		{"2x0", "HTTP/1.1 2x0 Odd\r\n" + whole},
 		{"HTTP/3.7", "HTTP/3.7 200 Odd\r\n" + whole},
 		{"blank in a name", ok + "Odd name: 1\r\n" + whole},
-		{"blank before the colon", ok + "Content-Length : 4\r\n" + whole},
+		{"blank before the colon", ok + "Content-Length : 14\r\n" + whole},
 		{"control byte in a name", ok + "Odd\x01: 1\r\n" + whole},
 		{"blank in a name of a provisional answer", "HTTP/1.1 103 Early Hints\r\nOdd name: 1\r\n\r\n" + ok + whole},
 		{"folded line", ok + "Odd: 1\r\n Other: 2\r\n" + whole},
 		{"line feed before a name", ok + "Content-Length: 2\r\n\nOdd: 1\r\n\r\nok"},
 		{"line feed alone behind a field", ok + "Odd: 1\nOther: 2\r\n" + whole},
 		{"line feed alone behind the status line", "HTTP/1.1 200 OK\n" + whole},
-		{"line feeds alone", "HTTP/1.1 200 OK\nContent-Length: 4\n\nboat"},
-		{"the same length twice", ok + "Content-Length: 4\r\n" + whole},
-		{"a length with chunks", ok + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nboat\r\n0\r\n\r\n"},
+		{"line feeds alone", "HTTP/1.1 200 OK\nContent-Length: 14\n\n" + health},
+		{"the same length twice", ok + "Content-Length: 14\r\n" + whole},
+		{"a length with chunks", ok + "Content-Length: 14\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks},
 		{"204 with a length", "HTTP/1.1 204 Odd\r\n" + whole},
-		{"304 with chunks", "HTTP/1.1 304 Odd\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nboat\r\n0\r\n\r\n"},
+		{"304 with chunks", "HTTP/1.1 304 Odd\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks},
 	}
 }
 
@@ -67,9 +70,12 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
 			answer, err := h.Send(ctx, newPost(nil), "token")
+			if err == nil {
+				answer.Body.Close()
+			}
 			var refusal *exchanger.Refusal
 			if !errors.As(err, &refusal) || refusal.Ran != exchanger.RanUnknown || refusal.Status != http.StatusBadGateway {
-				t.Fatalf("got %v, %v, want a refusal of a request that may have run, with 502", answer, err)
+				t.Errorf("got %v, %v, want a refusal of a request that may have run, with 502", answer, err)
 			}
 			if health, err := h.Health(ctx); err == nil {
 				t.Errorf("got %v from a health check, want an error", health)
