Take no reset connection under TLS for the end of an answer

What could happen, since the check of heads in flamingotackd: with an https backend server, a part of an answer without a length counted as the whole one if the server reset the connection during the upload.

Cause: decoder.Transport opened TLS over a plain connection. Its reader takes the end of the stream at a record's end for that of the answer.

Change: TLS runs over a connection of dialer.WrapConn too, as it did before decoder.Transport; one function wraps both kinds.

--- a/internal/decoder/transport.go
+++ b/internal/decoder/transport.go
@@ -33,18 +33,16 @@
 // dial. base must not use a proxy. Its limit of the bytes of a head bounds what is kept for the
 // check.
 func NewTransport(base *http.Transport, dial DialFunc) *Transport {
-	base.DialContext = func(ctx context.Context, network, address string) (conn net.Conn, err error) {
+	dialTCP := func(ctx context.Context, network, address string) (conn net.Conn, err error) {
 		if conn, err = dial(ctx, network, address); err != nil {
 			return nil, err
 		}
-		return &recordingConn{Conn: dialer.WrapConn(conn)}, nil
-	}
-	base.DialTLSContext = func(ctx context.Context, network, address string) (conn net.Conn, err error) {
-		if conn, err = dialTLS(ctx, dial, base.TLSClientConfig, network, address); err != nil {
-			return nil, err
-		}
-		return &recordingConn{Conn: conn}, nil
+		return dialer.WrapConn(conn), nil
 	}
+	base.DialContext = recordDialed(dialTCP)
+	base.DialTLSContext = recordDialed(func(ctx context.Context, network, address string) (net.Conn, error) {
+		return dialTLS(ctx, dialTCP, base.TLSClientConfig, network, address)
+	})
 	return &Transport{base: base}
 }
 
@@ -91,7 +89,17 @@
 	return h.CheckBody()
 }
 
-// dialTLS opens a TLS connection.
+// recordDialed returns a function that opens connections with dial, each a *recordingConn.
+func recordDialed(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (conn net.Conn, err error) {
+		if conn, err = dial(ctx, network, address); err != nil {
+			return nil, err
+		}
+		return &recordingConn{Conn: conn}, nil
+	}
+}
+
+// dialTLS opens a TLS connection over one that dial opens.
 func dialTLS(ctx context.Context, dial DialFunc, config *tls.Config, network, address string) (conn net.Conn, err error) {
 	defer func() { err = errors.Wrapf(err, "open TLS connection to %s", address) }()
 	host, _, err := net.SplitHostPort(address)
--- a/internal/decoder/transport_test.go
+++ b/internal/decoder/transport_test.go
@@ -1,12 +1,15 @@
 package decoder
 
 import (
+	"bytes"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 )
 
 // TestTransport checks that whole responses pass and that bytes which are none do not, with and
@@ -65,3 +68,48 @@
 		}
 	}
 }
+
+// TestTransportReset guards against an answer without a length that looks whole although the
+// server reset the connection while the request was still being written, with and without TLS.
+func TestTransportReset(t *testing.T) {
+	for _, secure := range []bool{false, true} {
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nboat")
+			time.Sleep(time.Millisecond)
+			if secure, ok := c.(*tls.Conn); ok {
+				c = secure.NetConn()
+			}
+			_ = c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}))
+		base := &http.Transport{}
+		if secure {
+			server.StartTLS()
+			base.TLSClientConfig = server.Client().Transport.(*http.Transport).TLSClientConfig
+		} else {
+			server.Start()
+		}
+		transport := NewTransport(base, (&net.Dialer{}).DialContext)
+		for range 20 {
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, bytes.NewReader(make([]byte, 8<<20)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			response, err := transport.RoundTrip(request)
+			if err != nil {
+				continue
+			}
+			body, err := io.ReadAll(response.Body)
+			response.Body.Close()
+			if err == nil {
+				t.Errorf("TLS %t: got %q without an error, want one", secure, body)
+			}
+		}
+		server.Close()
+	}
+}
