Keep the head of a response for its own request

What callers would have seen, since the check of heads in flamingotackd: 502 for whole answers without a body while requests share connections.

Cause: net/http hands a connection to the next request before it returns a response without a body. The next request's recording then took the place of the one that was still to be checked.

Change: each request has a recording of its own, which the next one ends but does not empty.

--- a/internal/decoder/transport.go
+++ b/internal/decoder/transport.go
@@ -27,6 +27,13 @@
 		// base opens only connections that are a *recordingConn.
 		base *http.Transport
 	}
+
+	// exchange is a request on a connection.
+	exchange struct {
+		conn *recordingConn
+		// head begins with the head of the response.
+		head *recording
+	}
 )
 
 // NewTransport returns a Transport that takes ownership of base and opens its connections with
@@ -54,19 +61,18 @@
 // RoundTrip sends a request and returns the response. The error is an *InvalidResponseError if
 // the server sent bytes that are none and net/http takes for one; the connection is closed then.
 func (t *Transport) RoundTrip(request *http.Request) (response *http.Response, err error) {
-	var last atomic.Pointer[recordingConn]
+	var last atomic.Pointer[exchange]
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		c := i.Conn.(*recordingConn)
-		c.startRecording()
-		last.Store(c)
+		last.Store(&exchange{conn: c, head: c.startRecording()})
 	}}
 	response, err = t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	c := last.Load()
-	if err := checkHead(c.stopRecording(), request.Method); err != nil {
-		c.Close()
+	x := last.Load()
+	if err := checkHead(x.conn.stopRecording(x.head), request.Method); err != nil {
+		x.conn.Close()
 		response.Body.Close()
 		return nil, err
 	}
--- a/internal/decoder/transport_test.go
+++ b/internal/decoder/transport_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 )
@@ -81,8 +82,8 @@
 			}
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nboat")
 			time.Sleep(time.Millisecond)
-			if secure, ok := c.(*tls.Conn); ok {
-				c = secure.NetConn()
+			if tlsConn, ok := c.(*tls.Conn); ok {
+				c = tlsConn.NetConn()
 			}
 			_ = c.(*net.TCPConn).SetLinger(0)
 			c.Close()
@@ -113,3 +114,34 @@
 		server.Close()
 	}
 }
+
+// TestTransportSharesConnections guards against whole responses that are refused because another
+// request already uses the connection: net/http hands it on before a response without a body is
+// returned.
+func TestTransportSharesConnections(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	defer server.Close()
+	transport := NewTransport(&http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 2}, (&net.Dialer{}).DialContext)
+	defer transport.CloseIdleConnections()
+	var sending sync.WaitGroup
+	for range 16 {
+		sending.Go(func() {
+			for range 200 {
+				request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL, http.NoBody)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				response, err := transport.RoundTrip(request)
+				if err != nil {
+					t.Errorf("got error %v, want a response", err)
+					return
+				}
+				response.Body.Close()
+			}
+		})
+	}
+	sending.Wait()
+}
