--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,7 +4,7 @@
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-play=target/review-3/overtaken
+play=target/review-3/popular
 program=target/flamingotack-platform
 [[ -x $play && -x $program ]] || exit 2
 trouble=true
--- a/review/third/deployment/deployment.go
+++ b/review/third/deployment/deployment.go
@@ -69,8 +69,10 @@
 		Routes  []Route
 		// Services are the names of the services.
 		Services []string
-		// Keys are the keys of Tenant, which has no limit.
+		// Keys are the keys of Tenant. Without any, the configuration does not name it.
 		Keys []string
+		// RatePerSecond and Burst are the limit of Tenant in requests; 0 means none.
+		RatePerSecond, Burst float64
 	}
 )
 
@@ -211,10 +213,14 @@
 	for _, s := range c.Services {
 		clusters = append(clusters, map[string]any{"name": s, "healthPath": "/health", "maxConnections": 300, "protocol": "h1", "tls": false, "warmup": "3s", "warmupPerS": 4.4})
 	}
+	tenants := []map[string]any{{"name": "tenant-two", "apiKeys": []string{"key-two"}, "priority": 1}}
+	if len(c.Keys) > 0 {
+		tenants = append(tenants, map[string]any{"name": Tenant, "apiKeys": c.Keys, "priority": 1, "ratePerS": c.RatePerSecond, "burst": c.Burst})
+	}
 	data, _ := json.Marshal(map[string]any{
 		"version":   c.Version,
 		"limits":    map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
-		"tenants":   []map[string]any{{"name": Tenant, "apiKeys": c.Keys, "priority": 1}},
+		"tenants":   tenants,
 		"listeners": []map[string]any{{"host": Host, "rules": rules}},
 		"clusters":  clusters,
 	})
