Show requests that reach a server which has started again, cold

Cause: a backend that starts again under its id between two requests is not noticed until its first heartbeat; connections that it closed ask for no health check. Done: a case with a script; the stand-ins tell a warm-up, and all cases record what is sent. Case 11 has 30 clients and the times of the site's job-progress.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the third review, which need the standard library only.
+# Builds the programs that play the cases 11 to 14, with the stand-ins that they hold. It needs no
+# network. The nodes are built by the build line of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")/third"
-go build -o ../../target/review-3/ ./cases/...
+mkdir -p ../../target/review-3
+GOWORK=off GOFLAGS= GOPROXY=off go build -o ../../target/review-3/ ./cases/...
--- a/review/third/backend/backend.go
+++ b/review/third/backend/backend.go
@@ -103,6 +103,8 @@
 		OnRun func(Run)
 		// OnCancel, if set, is called when the connection of a running request closes.
 		OnCancel func(attempt string)
+		// Warmup is how long an incarnation that starts from now on is cold.
+		Warmup time.Duration
 
 		address string
 
@@ -113,13 +115,14 @@
 
 	// incarnation is one start of the backend.
 	incarnation struct {
-		backend   *Backend
-		id        string
-		born      int64
-		listener  net.Listener
-		state     atomic.Value
-		stopped   chan struct{}
-		warmUntil time.Time
+		backend  *Backend
+		id       string
+		born     int64
+		listener net.Listener
+		state    atomic.Value
+		stopped  chan struct{}
+		// warmAt is when the incarnation is warm.
+		warmAt time.Time
 
 		mu    sync.Mutex
 		conns map[net.Conn]struct{}
@@ -147,7 +150,7 @@
 	if err != nil {
 		return fmt.Errorf("start backend %s: %w", id, err)
 	}
-	i := &incarnation{backend: b, id: id, born: time.Now().UnixMilli(), listener: listener, stopped: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	i := &incarnation{backend: b, id: id, born: time.Now().UnixMilli(), listener: listener, stopped: make(chan struct{}), warmAt: time.Now().Add(b.Warmup), conns: map[net.Conn]struct{}{}}
 	i.state.Store("ready")
 	b.mu.Lock()
 	b.current, b.sequence = i, 0
@@ -201,7 +204,7 @@
 	body, _ = json.Marshal(map[string]any{
 		"address": b.address, "born": i.born,
 		"info":   map[string]any{"service": b.Service, "version": "v1", "zone": b.Zone, "capacity": capacity},
-		"status": map[string]any{"state": state, "callSeq": b.sequence, "warmupLeft": "0ms"},
+		"status": map[string]any{"state": state, "callSeq": b.sequence, "warmupLeft": strconv.FormatInt(i.warmupLeft().Milliseconds(), 10) + "ms"},
 	})
 	return i.id, body
 }
@@ -371,7 +374,12 @@
 	if i.state.Load() != "ready" {
 		status = http.StatusServiceUnavailable
 	}
-	return writeAnswer(c, status, map[string]string{"X-Flamingotack-Instance-Id": i.id, "X-Flamingotack-Server-Load": "1,0," + strconv.Itoa(capacity)}, nil)
+	return writeAnswer(c, status, map[string]string{"X-Flamingotack-Instance-Id": i.id, "X-Flamingotack-Warmup-Ms": strconv.FormatInt(i.warmupLeft().Milliseconds(), 10), "X-Flamingotack-Server-Load": "1,0," + strconv.Itoa(capacity)}, nil)
+}
+
+// warmupLeft returns how much longer the incarnation is cold.
+func (i *incarnation) warmupLeft() time.Duration {
+	return max(0, time.Until(i.warmAt))
 }
 
 // work waits, and returns false at once if the connection closes meanwhile.
--- a/review/third/cases/overtaken/main.go
+++ b/review/third/cases/overtaken/main.go
@@ -131,6 +131,7 @@
 		}
 		r := &caller.Request{Method: http.MethodPost, Target: fmt.Sprintf("/book/%d", number), Host: deployment.Host, Attempt: fmt.Sprintf("q%d", number), Key: deployment.Key, Deadline: 3 * time.Second, Body: []byte("x")}
 		waiting.Go(func() {
+			d.Note("client", "POST %s sent, attempt %s", r.Target, r.Attempt)
 			a := caller.Do(d.Nodes[2].CallerAddress, r)
 			d.Note("client", "attempt %s: status %d, complete %t, error %v", r.Attempt, a.Status, a.Complete, a.Err)
 		})
--- a/review/third/cases/pipelined/main.go
+++ b/review/third/cases/pipelined/main.go
@@ -21,14 +21,14 @@
 
 const (
 	// routeTimeout is the timeout of the route, deadline how long the clients wait.
-	routeTimeout = 6 * time.Second
+	routeTimeout = 5 * time.Second
 	deadline     = 10 * time.Second
 	// longTime and shortTime are how long the two requests run.
-	longTime  = 5200 * time.Millisecond
+	longTime  = 4900 * time.Millisecond
 	shortTime = 50 * time.Millisecond
 	// clients is the number of clients, which send sendAfter the stop has begun. Clients may send
 	// until two checks of the readiness, one a second, have failed.
-	clients   = 6
+	clients   = 30
 	sendAfter = time.Second
 	// judgedAfterGrace is how long after the grace period the rule looks at the ends of
 	// connections.
@@ -122,6 +122,7 @@
 		e.answer.Err = err
 		return e
 	}
+	d.Note("client", "GET %s and GET %s sent on one connection", long.Target, e.request.Target)
 	first := c.ReadAnswer(long.Method, e.sentAt.Add(deadline))
 	d.Note("client", "%s: status %d, complete %t, error %v, after %s", long.Attempt, first.Status, first.Complete, first.Err, time.Since(e.sentAt).Round(time.Millisecond))
 	if first.Complete {
--- a/review/third/cases/popular/main.go
+++ b/review/third/cases/popular/main.go
@@ -162,6 +162,7 @@
 		r := &caller.Request{Method: http.MethodGet, Target: target, Host: deployment.Host, Attempt: fmt.Sprintf("q%d", number), Key: deployment.Key, Deadline: 2 * time.Second}
 		waiting.Go(func() {
 			sentAt := time.Now()
+			c.deployment.Note("client", "GET %s sent, attempt %s", r.Target, r.Attempt)
 			a := caller.Do(c.addresses[number%len(c.addresses)], r)
 			c.deployment.Note("client", "attempt %s: status %d, complete %t, body %.20q, error %v", r.Attempt, a.Status, a.Complete, a.Body, a.Err)
 			c.mu.Lock()
--- a/review/third/cases/returned/main.go
+++ b/review/third/cases/returned/main.go
@@ -82,6 +82,7 @@
 		r := &caller.Request{Method: http.MethodGet, Target: fmt.Sprintf("/list/%d", i), Host: deployment.Host, Attempt: fmt.Sprintf("q%d", i), Key: deployment.Key, Deadline: 2 * time.Second}
 		node := d.Nodes[3+i%3]
 		waiting.Go(func() {
+			d.Note("client", "GET %s sent to %s, attempt %s", r.Target, node.Name, r.Attempt)
 			a := caller.Do(node.CallerAddress, r)
 			d.Note("client", "%s at %s: status %d", r.Attempt, node.Name, a.Status)
 		})
