--- a/review/third/store/store.go
+++ b/review/third/store/store.go
@@ -34,6 +34,8 @@
 	// topic is the log of one topic. The offset of a record is its index.
 	topic struct {
 		records []record
+		// first is the first offset that is retained.
+		first   int
 		changed chan struct{}
 	}
 
@@ -75,6 +77,15 @@
 	s.append(topicName, record{key: key, value: value})
 }
 
+// Forget drops the records of all topics but the newest of each key.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.topics {
+		t.first = len(t.records)
+	}
+}
+
 // ServeHTTP answers one call.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
@@ -83,6 +94,11 @@
 	if fault != nil && fault(w, r) {
 		return
 	}
+	s.Serve(w, r)
+}
+
+// Serve answers a call without a fault.
+func (s *Store) Serve(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case "/log-append":
 		s.serveAppend(w, r)
@@ -154,16 +170,21 @@
 	for {
 		s.mu.Lock()
 		t := s.topic(query.Get("topic"))
-		changed, records := t.changed, t.records
+		changed, records, first := t.changed, t.records, t.first
 		s.mu.Unlock()
+		if from < first {
+			w.WriteHeader(http.StatusGone)
+			fmt.Fprintf(w, `{"firstOffset":%d}`, first)
+			return
+		}
 		if from < len(records) {
-			writeRecords(w, records, from)
+			writeRecords(w, records, first, from)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			writeRecords(w, records, len(records))
+			writeRecords(w, records, first, len(records))
 			return
 		case <-r.Context().Done():
 			return
@@ -172,9 +193,9 @@
 }
 
 // writeRecords writes the end of the log, its first offset and the records from an offset on.
-func writeRecords(w io.Writer, records []record, from int) {
+func writeRecords(w io.Writer, records []record, first, from int) {
 	out := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
-	out = binary.BigEndian.AppendUint64(out, 0)
+	out = binary.BigEndian.AppendUint64(out, uint64(first))
 	for _, entry := range records[from:] {
 		out = binary.BigEndian.AppendUint32(out, uint32(1+len(entry.key)+len(entry.value)))
 		out = append(append(append(out, byte(len(entry.key))), entry.key...), entry.value...)
