Answer all requests that were read when a planned stop ends

Cause: at the end of its schedule the node closed its listener, waited 300 ms and exited. Nothing ended the requests that still ran, so none got an answer, and answers are written in the order of the requests. The log said so: "drain ended ... with 60 requests unanswered".

Change: the contexts of all requests have one parent, which the node cancels with the cause ErrStopping. A link then waits for the other node's answer to the cancellation, which tells whether the call has run; the admitter turns what has not run into a refusal with Retry-After; the acceptor refuses requests that are half read. flamingotackd does the same for the requests of its HTTP servers. Why it works: each pending request ends at once with what the node knows of it, and the ready answers behind it are written.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -80,6 +80,10 @@
 	Server struct {
 		// Account bounds the memory of requests and responses; nil means no bound.
 		Account *accountant.Account
+		// BaseContext is the parent of the contexts of all requests; nil means
+		// context.Background(). Once it is canceled, requests that have not arrived as a
+		// whole are refused.
+		BaseContext context.Context
 		// MaxConnections bounds the open connections; 0 means no bound. At the
 		// bound, the connections that have been idle longest are closed. Those with
 		// requests may exceed it up to MaxSockets.
@@ -128,6 +132,14 @@
 	}
 )
 
+// baseContext returns the parent of the contexts of all requests.
+func (s *Server) baseContext() context.Context {
+	if s.BaseContext == nil {
+		return context.Background()
+	}
+	return s.BaseContext
+}
+
 // PendingRequests returns the number of requests without a complete response.
 func (s *Server) PendingRequests() int {
 	return int(s.pending.Load())
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -23,6 +23,7 @@
 	errHeadTooLarge = errors.New("request header too large")
 	errEvicted      = errors.New("memory or connections are short, and the caller has made no progress for long")
 	errMemoryShort  = errors.New("memory is short")
+	errStopping     = errors.New("the server stops")
 )
 
 type (
@@ -107,8 +108,9 @@
 	defer c.server.Account.Unregister(&c.holder)
 	defer c.socket.Close()
 	defer c.discardUnstarted()
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(c.server.baseContext())
 	defer cancel()
+	defer context.AfterFunc(ctx, c.interruptRequest)()
 	c.socketReader.onBlock = func() { c.startQueued(ctx) }
 	for c.awaitRequest() {
 		r, err := c.readRequest(c.server.Limits())
@@ -262,6 +264,9 @@
 		header = http.Header{"Retry-After": {shortageRetryAfter}}
 		c.server.countShortage(err)
 		c.server.logClosed(c, err)
+	case errors.Is(err, errStopping):
+		status = http.StatusServiceUnavailable
+		header = http.Header{"Retry-After": {stoppingRetryAfter}}
 	case errors.Is(err, errBodyTooLarge):
 		status = http.StatusRequestEntityTooLarge
 	case errors.Is(err, errHeadTooLarge):
--- a/internal/acceptor/requestreader.go
+++ b/internal/acceptor/requestreader.go
@@ -46,8 +46,8 @@
 		if err != nil && c.socketReader.limitErr != nil {
 			err = c.socketReader.limitErr
 		}
-		if err != nil && c.holder.Evicted() && errors.Is(err, os.ErrDeadlineExceeded) {
-			err = errEvicted
+		if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+			err = c.interruption(err)
 		}
 	}()
 	c.requestBytes = 0
@@ -63,9 +63,8 @@
 		return nil, errBodyTooLarge
 	}
 	c.socketReader.remainingBytes = limits.MaxBodyBytes*maxChunkedOverhead + readBufferBytes
-	_ = c.socket.SetReadDeadline(time.Now().Add(bodyTimeout))
-	if c.holder.Evicted() {
-		return nil, errEvicted
+	if err := c.setReadTimeout(bodyTimeout); err != nil {
+		return nil, err
 	}
 	if strings.EqualFold(httpRequest.Header.Get("Expect"), "100-continue") {
 		c.sendContinue()
@@ -84,11 +83,30 @@
 	return r, err
 }
 
+// setReadTimeout bounds the time until the caller has sent the next part of a request. It returns
+// an error if the connection was evicted or the server stops, and so does the read if that happens
+// later.
+func (c *conn) setReadTimeout(timeout time.Duration) error {
+	_ = c.socket.SetReadDeadline(time.Now().Add(timeout))
+	return c.interruption(nil)
+}
+
+// interruption returns why the read of a request ends early, or err if nothing interrupts it.
+func (c *conn) interruption(err error) error {
+	switch {
+	case c.holder.Evicted():
+		return errEvicted
+	case c.server.baseContext().Err() != nil:
+		return errStopping
+	default:
+		return err
+	}
+}
+
 // readHead reads the request line and header, and charges them as they arrive.
 func (c *conn) readHead(now time.Time, limits Limits) (r *http.Request, err error) {
-	_ = c.socket.SetReadDeadline(now.Add(limits.HeaderTimeout))
-	if c.holder.Evicted() {
-		return nil, errEvicted
+	if err := c.setReadTimeout(limits.HeaderTimeout); err != nil {
+		return nil, err
 	}
 	if err := c.reserve(accountant.RequestBytes); err != nil {
 		return nil, err
--- a/internal/acceptor/shutdown.go
+++ b/internal/acceptor/shutdown.go
@@ -13,6 +13,9 @@
 	// firstRequestTimeout is how long a new connection may take to send its first
 	// request during a shutdown.
 	firstRequestTimeout = 100 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After value, in seconds, of a request that has not
+	// arrived as a whole when the server stops. It is short, as another server can take it.
+	stoppingRetryAfter = "0.100"
 )
 
 // Shutdown closes idle connections at once and the others after the responses to their
@@ -30,3 +33,12 @@
 		}
 	}
 }
+
+// interruptRequest ends the read of a request that has not arrived as a whole.
+func (c *conn) interruptRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.receiving {
+		_ = c.socket.SetReadDeadline(time.Unix(1, 0))
+	}
+}
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -133,6 +133,9 @@
 		return a.refusalResponse(r.Header.Get(a.HeaderNames.AttemptID), refusal)
 	}
 	reply, refusal := a.run(ctx, rc)
+	if refusal != nil && refusal.Ran == exchanger.RanNo && exchanger.Stopping(ctx) {
+		refusal = drainingRefusal()
+	}
 	a.observe(rc, reply, refusal, a.Clock.Now().Sub(r.ArrivedAt))
 	decision := logger.Decision{
 		Request:       rc.call.ID,
@@ -202,9 +205,7 @@
 	}
 	call := a.newCall(r, id, route, customer)
 	if !a.hasTimeFor(call) {
-		refusal := exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonDraining, "the node stops")
-		refusal.RetryAfter = drainingRetryAfter
-		return nil, refusal
+		return nil, drainingRefusal()
 	}
 	return &resolvedCall{call: call, customer: customer, route: route}, nil
 }
@@ -257,6 +258,13 @@
 	return refusal
 }
 
+// drainingRefusal returns the refusal of a request that did not run because the node stops.
+func drainingRefusal() *exchanger.Refusal {
+	refusal := exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonDraining, "the node stops")
+	refusal.RetryAfter = drainingRetryAfter
+	return refusal
+}
+
 // newCall converts a request to a call.
 func (a *Admitter) newCall(r *acceptor.Request, id string, route *director.Route, customer *director.Customer) *exchanger.Call {
 	callerTimeout := a.callerTimeout(r.Header, route)
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -107,8 +107,12 @@
 		settings Settings
 		self     linker.Member
 
-		account       *accountant.Account
-		acceptor      *acceptor.Server
+		account  *accountant.Account
+		acceptor *acceptor.Server
+		// requestsCtx is the parent of the contexts of all callers' requests, endRequests
+		// cancels it.
+		requestsCtx   context.Context
+		endRequests   context.CancelCauseFunc
 		admitter      *admitter.Admitter
 		fanOutCounter *admitter.FanOutCounter
 		forwarder     *forwarder.Forwarder
@@ -179,6 +183,7 @@
 func New(s Settings) (n *Node, err error) {
 	defer func() { err = errors.Wrapf(err, "set up node %q", s.Name) }()
 	n = &Node{settings: s, backendChanged: make(chan struct{}, 1), suspectsChanged: make(chan struct{}, 1)}
+	n.requestsCtx, n.endRequests = context.WithCancelCause(context.Background())
 	n.table.Publish(director.NewTable(director.State{}))
 	n.schedule.Publish(&drainer.Drain{})
 	n.rewriter = newRewriter(s.Logger.Named("rewriter"), s.Directory.Era, s.Directory.InitialEra, func() int { return len(n.linker.Peers()) + 1 }, n.rereadMembers)
@@ -354,6 +359,7 @@
 	})
 	n.acceptor = &acceptor.Server{
 		Account:        n.account,
+		BaseContext:    n.requestsCtx,
 		MaxConnections: int(callerSocketShare * float64(s.MaxSockets)),
 		MaxSockets:     n.maxCallerSockets(),
 		Draining:       n.stopping.Load,
--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -45,6 +45,7 @@
 		{"flamingotack.config.omitted", "Customers, routes and services that the configuration in force leaves out as invalid.", func() int64 { return int64(n.table.Load().Omitted().Total()) }},
 		{"flamingotack.era", "Era of the directory from which the configuration in force was read.", func() int64 { return int64(n.table.Load().State.Era) }},
 		{"flamingotack.links.up", "Links to other nodes that stand.", func() int64 { return int64(n.linker.ConnectedPeerCount()) }},
+		{"flamingotack.server.queued", "Calls that wait for a slot of the backend server.", func() int64 { return int64(n.guardian.QueuedCalls()) }},
 		{"flamingotack.server.failing", "1 while many runs on the backend server end badly.", n.failingValue},
 		{"flamingotack.rollout.state", "Rollout of the node's service: 0 none, 1 running, 2 completed, 3 rolled back.", n.rolloutState},
 		{"flamingotack.rollout.share", "Calls of the node's service that go to the target version of its rollout, in percent.", n.rolloutShare},
--- a/internal/composer/stop.go
+++ b/internal/composer/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/flamingotack/flamingotack/internal/drainer"
+	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
 
@@ -20,8 +21,9 @@
 )
 
 // drain waits for the end of ctx and then stops the node. The node accepts no
-// calls for its backend server, accepts requests as its schedule says, and ends when all
-// are answered or the grace period is nearly over.
+// calls for its backend server and accepts requests as its schedule says. When all are
+// answered or the grace period is nearly over, it ends those that are left with answers of
+// its own and closes the connections.
 func (n *Node) drain(ctx, workCtx context.Context) error {
 	select {
 	case <-ctx.Done():
@@ -43,8 +45,10 @@
 		load := n.guardian.LoadReport()
 		idle := n.acceptor.PendingRequests() == 0 && load.Running == 0 && n.linker.Idle()
 		if !now.Before(schedule.End) || !schedule.Lingers(now) && idle {
+			pending := n.acceptor.PendingRequests()
+			n.endRequests(exchanger.ErrStopping)
 			n.shutdown(workCtx)
-			n.settings.Logger.Infof("drain ended after %s with %d requests unanswered", time.Since(stopStartedAt), n.acceptor.PendingRequests())
+			n.settings.Logger.Infof("drain ended after %s: %d requests were ended, %d have no answer", time.Since(stopStartedAt), pending, n.acceptor.PendingRequests())
 			return nil
 		}
 		timekeeper.Sleep(workCtx, drainPollInterval)
--- a/internal/guardian/callqueue.go
+++ b/internal/guardian/callqueue.go
@@ -143,6 +143,13 @@
 	report.OfferedSlots = q.offeredSlotSeconds.Value(now, offeredDecayTime) / offeredDecayTime.Seconds()
 }
 
+// length returns the number of calls that wait.
+func (q *callQueue) length() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.scheduler.Len()
+}
+
 // open accepts calls and dispatches them within the limits.
 func (q *callQueue) open(limits serverLimits) {
 	q.mu.Lock()
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -198,6 +198,11 @@
 	return g.server.Phase == PhaseDraining || g.server.Phase == PhaseLeft
 }
 
+// QueuedCalls returns the number of calls that wait for a slot of the backend server.
+func (g *Guardian) QueuedCalls() int {
+	return g.queue.length()
+}
+
 // LoadReport returns a new report on the backend server.
 func (g *Guardian) LoadReport() LoadReport {
 	g.mu.Lock()
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -290,13 +290,16 @@
 		k.abandonExchange(number)
 		return nil, unreachableRefusal(k.member.Name)
 	}
-	timer := time.NewTimer(c.Deadline.Sub(now) + replyMargin)
-	defer timer.Stop()
-	select {
-	case r := <-e.done:
+	if r, ended := e.await(ctx.Done(), c.Deadline.Sub(now)+replyMargin); ended {
 		return r.reply, r.refusal
-	case <-timer.C:
-	case <-ctx.Done():
+	}
+	if exchanger.Stopping(ctx) && !e.session.isQueued(number) {
+		// The caller still waits, and only the other node knows whether the call has run.
+		e.session.dropData(number)
+		e.session.enqueue(&framer.Frame{Number: number, Cancel: true})
+		if r, ended := e.await(nil, cancelTimeout); ended {
+			return r.reply, r.refusal
+		}
 	}
 	k.abandonExchange(number)
 	select {
@@ -314,6 +317,19 @@
 	return nil, exchanger.Unknown(http.StatusGatewayTimeout, exchanger.ReasonDeadline, "no answer from node %s in time", k.member.Name)
 }
 
+// await returns the result of the exchange, unless done is closed or the timeout ends before.
+func (e *exchange) await(done <-chan struct{}, timeout time.Duration) (r result, ended bool) {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case r = <-e.done:
+		return r, true
+	case <-done:
+	case <-timer.C:
+	}
+	return result{}, false
+}
+
 // unsentRefusal returns the refusal of a call that was not sent before its deadline or
 // before ctx ended.
 func unsentRefusal(ctx context.Context, name string) *exchanger.Refusal {
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -53,6 +53,9 @@
 	maxRedialDelay = 2 * time.Second
 	// replyMargin is how long after a call's deadline its reply is still awaited.
 	replyMargin = 40 * time.Millisecond
+	// cancelTimeout is how long a node that stops waits for the answer to a call that it
+	// has canceled.
+	cancelTimeout = 100 * time.Millisecond
 	// unwantedLinkTime is how long an unwanted link is kept.
 	unwantedLinkTime = 10 * time.Second
 	// minChoiceInterval is the minimum time between a choice of links and the next one
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -200,6 +200,8 @@
 	if c := r.partialCalls[number]; c != nil {
 		delete(r.partialCalls, number)
 		c.body.release()
+		refusal := exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonCanceled, "the call was canceled before it had arrived")
+		r.session.enqueue(&framer.Frame{Number: number, Refusal: fromRefusal(refusal)})
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/linker/session.go
+++ b/internal/linker/session.go
@@ -186,13 +186,24 @@
 	s.data.remove(number)
 }
 
+// isQueued reports whether a call waits in the queue, so that no part of it has been sent.
+func (s *session) isQueued(number uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isQueuedLocked(number)
+}
+
+// isQueuedLocked is isQueued for callers that hold the lock.
+func (s *session) isQueuedLocked(number uint64) bool {
+	return slices.ContainsFunc(s.queue, func(f *framer.Frame) bool { return f.GetNumber() == number && f.GetRun() != nil })
+}
+
 // withdraw removes a call from the queue if it has not been sent yet, and reports whether
 // it did.
 func (s *session) withdraw(number uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	isCallStart := func(f *framer.Frame) bool { return f.GetNumber() == number && f.GetRun() != nil }
-	if !slices.ContainsFunc(s.queue, isCallStart) {
+	if !s.isQueuedLocked(number) {
 		return false
 	}
 	// A batch that is being sent may share the queue's array, so that is not changed.
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -30,7 +30,9 @@
 	// including the caller's.
 	MaxCallDepth = 64
 
-	copyBufferBytes        = 32 << 10
+	copyBufferBytes = 32 << 10
+	// stoppingRetryAfter is the Retry-After value of requests that end because the node stops.
+	stoppingRetryAfter     = time.Second
 	maxIdempotencyKeyBytes = 255
 )
 
@@ -115,6 +117,7 @@
 		c.Response().Header().Set("Connection", "close")
 	}
 	r, status, err := v.handle(c, admit, started)
+	err = stopRefusal(c.Request().Context(), err)
 	outcome := Outcome{Request: r, Status: status, Elapsed: v.Clock.Now().Sub(started)}
 	if err != nil {
 		outcome.Refusal = exchanger.AsRefusal(err)
@@ -129,6 +132,16 @@
 	}
 }
 
+// stopRefusal returns err, or the refusal of a request that did not run because the node stops.
+func stopRefusal(ctx context.Context, err error) error {
+	if err == nil || !exchanger.Stopping(ctx) || exchanger.AsRefusal(err).Ran != exchanger.RanNo {
+		return err
+	}
+	refusal := exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonDraining, "the node stops")
+	refusal.RetryAfter = stoppingRetryAfter
+	return refusal
+}
+
 // handle runs one request. status is the HTTP status sent to the caller, or 0
 // when nothing was written.
 func (v *Receiver) handle(c echo.Context, admit admitFunc, started time.Time) (r *exchanger.Request, status int, err error) {
@@ -205,7 +218,14 @@
 	return r, route, nil
 }
 
+// readBody reads the body of a request. The read ends early when the node stops.
 func (v *Receiver) readBody(c echo.Context) (body []byte, err error) {
+	ctx := c.Request().Context()
+	defer context.AfterFunc(ctx, func() {
+		if exchanger.Stopping(ctx) {
+			_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Unix(1, 0))
+		}
+	})()
 	limited := http.MaxBytesReader(c.Response(), c.Request().Body, v.MaxBodyBytes)
 	body, err = io.ReadAll(limited)
 	var tooLarge *http.MaxBytesError
--- a/lifecycle.go
+++ b/lifecycle.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/folder"
 	"github.com/flamingotack/flamingotack/internal/timekeeper"
 )
@@ -19,6 +20,10 @@
 	// know of the shutdown.
 	peerIdleTime    = 200 * time.Millisecond
 	peerIdleTimeout = 3 * time.Second
+	// maxEndingTime is the part of the grace period that is reserved for the answers to the
+	// requests that are still running, maxEndingFraction bounds it as a fraction of the period.
+	maxEndingTime     = 500 * time.Millisecond
+	maxEndingFraction = 0.25
 	// stopHandoverTimeout is how long a stopping node waits for the next holders.
 	stopHandoverTimeout = 2 * time.Second
 )
@@ -32,10 +37,15 @@
 	// httpServers are in the order in which serve adds them, the server for
 	// callers first.
 	httpServers []*http.Server
+	// requestsCtx is the parent of the contexts of all requests over HTTP, endRequests
+	// cancels it.
+	requestsCtx context.Context
+	endRequests context.CancelCauseFunc
 }
 
-// drain waits for ctx to end, then stops the node gracefully. componentsCtx is
-// the context of the node's components.
+// drain waits for ctx to end, then stops the node gracefully. Requests that run until the grace
+// period is nearly over are ended, so that they are answered before their connections close.
+// componentsCtx is the context of the node's components.
 func (n *Node) drain(ctx, componentsCtx context.Context) error {
 	select {
 	case <-ctx.Done():
@@ -46,8 +56,11 @@
 	n.lifecycle.draining.Store(true)
 	n.membership.stopJoining()
 	n.membership.ownership.Stop()
-	graceCtx, cancel := context.WithTimeout(componentsCtx, n.settings.GracePeriod.Std())
+	gracePeriod := n.settings.GracePeriod.Std()
+	graceCtx, cancel := context.WithTimeout(componentsCtx, gracePeriod)
 	defer cancel()
+	endingTime := min(maxEndingTime, time.Duration(maxEndingFraction*float64(gracePeriod)))
+	defer time.AfterFunc(gracePeriod-endingTime, n.endRequests).Stop()
 	n.announceLeave(graceCtx)
 	n.awaitHandovers(graceCtx)
 	timekeeper.Sleep(graceCtx, n.settings.DrainDelay.Std())
@@ -56,6 +69,12 @@
 	return errStopped
 }
 
+// endRequests ends the requests that are running.
+func (n *Node) endRequests() {
+	n.dependencies.Logger.Warnf("grace period nearly over, %d running requests ended", n.runningRequests.Count())
+	n.lifecycle.endRequests(exchanger.ErrStopping)
+}
+
 // awaitRequests waits for the running requests of callers and of other nodes.
 func (n *Node) awaitRequests(ctx context.Context) {
 	caller := n.lifecycle.httpServers[0]
--- a/node.go
+++ b/node.go
@@ -108,6 +108,7 @@
 		issuer:          issuer.New(),
 		runningRequests: receiver.NewRunningRequests(),
 	}
+	n.lifecycle.requestsCtx, n.lifecycle.endRequests = context.WithCancelCause(context.Background())
 	n.connector.WrapConn = dependencies.WrapConn
 	if n.security, err = newSecurity(settings, dependencies.Logger.Named("securer")); err != nil {
 		return nil, err
@@ -236,6 +237,7 @@
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return n.lifecycle.requestsCtx },
 		ErrorLog:          nil,
 	}
 	n.lifecycle.httpServers = append(n.lifecycle.httpServers, server)
