Keep departures of servers that have sent no heartbeat yet

Cause: ServerState.MarkLeft dropped the departure of an incarnation that it didn't know, and the handler acknowledged it. The first heartbeat of an incarnation that follows a known one counts as ready without a health check. The node's log shows both: "departure ... received: former incarnation", then "new incarnation". After a restart of the node three late heartbeats had the same effect.

A process that has just started opens a server only after a health check for as long as heartbeats may be late. A node whose server has left early leaves the directory. Why it works: no order of the messages, and no restart, makes a heartbeat newer than the departure that it was sent before.

--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -121,6 +121,7 @@
 		queue:             newCallQueue(s.Clock),
 		suspects:          newCrashSuspects(s.Clock),
 		healthCheckNeeded: make(chan struct{}, 1),
+		server:            ServerState{HeartbeatsTrustedFrom: s.Clock.Now().Add(maxHeartbeatDelay)},
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -185,7 +186,7 @@
 func (g *Guardian) HandleLeave(id string, startUnixMillis int64) HeartbeatOutcome {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	outcome := g.server.MarkLeft(id, startUnixMillis)
+	outcome := g.server.MarkLeft(g.Clock.Now(), id, startUnixMillis)
 	g.Logger.Infof("departure of backend server %s, started at %d ms, received: %s", id, startUnixMillis, outcome)
 	g.applyState()
 	return outcome
@@ -195,7 +196,7 @@
 func (g *Guardian) Leaving() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.server.Phase == PhaseDraining || g.server.Phase == PhaseLeft
+	return g.server.Leaving()
 }
 
 // QueuedCalls returns the number of calls that wait for a slot of the backend server.
--- a/internal/guardian/guardian_test.go
+++ b/internal/guardian/guardian_test.go
@@ -65,6 +65,7 @@
 		Runs:        &attributor.Attributor{},
 		Table:       f.table.Load,
 	})
+	f.clock.Advance(maxHeartbeatDelay)
 	return f
 }
 
--- a/internal/guardian/serverstate.go
+++ b/internal/guardian/serverstate.go
@@ -22,6 +22,8 @@
 	// server counts as ready without a successful health check, and after which
 	// sequences below the last one are those of the server.
 	minTrustedHeartbeats = 3
+	// maxHeartbeatDelay is how late a heartbeat may arrive.
+	maxHeartbeatDelay = 10 * time.Second
 	// MaxWarmup is the longest warm-up that a heartbeat may tell.
 	MaxWarmup = time.Hour
 	// maxWarmupDifference is how much earlier a heartbeat may end the warm-up than the last
@@ -62,7 +64,14 @@
 		Phase Phase
 		// ColdUntil is when the server's warm-up ends. It is not before checkedColdUntil.
 		ColdUntil time.Time
+		// HeartbeatsTrustedFrom is the time before which no heartbeat marks a server as ready
+		// without a health check. A process that has just started does not know which
+		// departures an earlier one has acknowledged, and late heartbeats do not tell them.
+		HeartbeatsTrustedFrom time.Time
 
+		// departures are the departures that may be of incarnations that have sent no
+		// heartbeat yet.
+		departures departures
 		// checkedColdUntil is when the warm-up ends that the last health check of a server
 		// with this ID told. A heartbeat does not say when it was sent, so none ends the
 		// warm-up earlier.
@@ -93,6 +102,9 @@
 	HeartbeatNewIncarnation HeartbeatOutcome = "new incarnation"
 	// HeartbeatLeaving means that the server has started to leave.
 	HeartbeatLeaving HeartbeatOutcome = "leaving"
+	// HeartbeatLeftEarly means that a server has started to leave of which no heartbeat has
+	// been received.
+	HeartbeatLeftEarly HeartbeatOutcome = "leaving before its first heartbeat"
 	// HeartbeatFormerIncarnation means that it came from a former incarnation and
 	// was ignored.
 	HeartbeatFormerIncarnation HeartbeatOutcome = "former incarnation"
@@ -106,6 +118,18 @@
 	return now.Before(s.ColdUntil)
 }
 
+// Leaving reports whether the server is leaving or has left, also if it has sent no heartbeat.
+func (s *ServerState) Leaving() bool {
+	switch s.Phase {
+	case PhaseDraining, PhaseLeft:
+		return true
+	case PhaseUnknown:
+		return s.departures.anyAfter(s.LastHeartbeat.StartUnixMillis)
+	default:
+		return false
+	}
+}
+
 // NeedsCheck reports whether only a health check can tell whether the server accepts requests,
 // or until when it is cold.
 func (s *ServerState) NeedsCheck(now time.Time) bool {
@@ -137,16 +161,28 @@
 	}
 }
 
-// MarkLeft records that the server with that ID has left. It ignores the departure of
-// another server or of a former incarnation. startUnixMillis is 0 if the incarnation is
-// not known.
-func (s *ServerState) MarkLeft(id string, startUnixMillis int64) HeartbeatOutcome {
-	if id != s.LastHeartbeat.ID || startUnixMillis != 0 && startUnixMillis < s.LastHeartbeat.StartUnixMillis {
+// MarkLeft records that the server with that ID has left, also if it is an incarnation that has
+// sent no heartbeat yet. It ignores the departure of a former incarnation. startUnixMillis is 0 if
+// the incarnation is not known; the departure then binds all that have started by now.
+func (s *ServerState) MarkLeft(now time.Time, id string, startUnixMillis int64) HeartbeatOutcome {
+	startsThrough := startUnixMillis
+	if startUnixMillis == 0 {
+		startsThrough = now.UnixMilli()
+	}
+	if s.LastHeartbeat.ID != "" && startsThrough < s.LastHeartbeat.StartUnixMillis {
 		return HeartbeatFormerIncarnation
 	}
-	s.LastHeartbeat.ID, s.LastHeartbeat.StartUnixMillis = id, max(startUnixMillis, s.LastHeartbeat.StartUnixMillis)
-	s.Phase = PhaseLeft
-	return HeartbeatLeaving
+	s.departures.add(departure{id: id, startsThrough: startsThrough})
+	if id == s.LastHeartbeat.ID {
+		s.LastHeartbeat.StartUnixMillis = max(startUnixMillis, s.LastHeartbeat.StartUnixMillis)
+		s.Phase = PhaseLeft
+		return HeartbeatLeaving
+	}
+	if startUnixMillis > s.LastHeartbeat.StartUnixMillis {
+		// The server that is known has been replaced.
+		s.MarkUnknown()
+	}
+	return HeartbeatLeftEarly
 }
 
 // ApplyHeartbeat updates the state from a heartbeat, unless the heartbeat is late or
@@ -190,15 +226,19 @@
 	s.LastHeartbeat = h
 	s.lateHeartbeats, s.lateSequence = 0, 0
 	s.unconfirmedHeartbeats = 1
-	s.Phase = PhaseUnknown
-	if replacesKnown {
+	switch {
+	case s.departures.bind(h):
+		s.Phase = PhaseLeft
+	case h.Draining:
+		s.Phase = PhaseDraining
+	case replacesKnown && s.trusts(now, h):
 		// The incarnation is newer than the last one, so this is not a late
 		// heartbeat of a server that has been replaced.
 		s.Phase = PhaseReady
+	default:
+		s.Phase = PhaseUnknown
 	}
-	if h.Draining {
-		s.Phase = PhaseDraining
-	}
+	s.departures.prune(h.StartUnixMillis)
 	s.setWarmup(now, h.WarmupRemaining)
 	return HeartbeatNewIncarnation
 }
@@ -213,13 +253,19 @@
 		s.Phase = PhaseDraining
 		return HeartbeatLeaving
 	}
-	if s.Phase == PhaseUnknown && s.unconfirmedHeartbeats >= minTrustedHeartbeats {
+	if s.Phase == PhaseUnknown && s.unconfirmedHeartbeats >= minTrustedHeartbeats && s.trusts(now, h) {
 		s.Phase = PhaseReady
 	}
 	s.setWarmup(now, h.WarmupRemaining)
 	return HeartbeatAccepted
 }
 
+// trusts reports whether heartbeats may mark their server as ready without a health check, as no
+// departure of it can have been forgotten.
+func (s *ServerState) trusts(now time.Time, h Heartbeat) bool {
+	return !now.Before(s.HeartbeatsTrustedFrom) && h.StartUnixMillis > s.departures.forgottenThrough
+}
+
 // setWarmup applies the warm-up that a heartbeat tells, unless it ends before that of the last
 // health check. The heartbeat may then have been sent before the check.
 func (s *ServerState) setWarmup(now time.Time, remaining time.Duration) {
--- a/internal/guardian/serverstate_test.go
+++ b/internal/guardian/serverstate_test.go
@@ -1,6 +1,7 @@
 package guardian
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -68,14 +69,72 @@
 		{"heartbeat after departure is ignored", func(s *ServerState) {
 			s.ApplyHeartbeat(epoch, ready("a", 1, 1))
 			s.ConfirmHealthy(epoch, epoch, "a", 0)
-			s.MarkLeft("a", 1)
+			s.MarkLeft(epoch, "a", 1)
 			s.ApplyHeartbeat(epoch, ready("a", 1, 2))
 		}, PhaseLeft, "a"},
 		{"departure of a former incarnation is ignored", func(s *ServerState) {
 			s.ApplyHeartbeat(epoch, ready("a", 2, 1))
 			s.ConfirmHealthy(epoch, epoch, "a", 0)
-			s.MarkLeft("a", 1)
+			s.MarkLeft(epoch, "a", 1)
 		}, PhaseReady, "a"},
+		{"departure overtakes the first heartbeats of the next server", func(s *ServerState) {
+			s.ApplyHeartbeat(epoch, draining("a", 1, 9))
+			s.MarkLeft(epoch, "b", 2)
+			s.ApplyHeartbeat(epoch, ready("b", 2, 1))
+			s.ConfirmHealthy(epoch, epoch, "b", 0)
+		}, PhaseLeft, "b"},
+		{"departure without start overtakes the first heartbeat", func(s *ServerState) {
+			s.ApplyHeartbeat(epoch, draining("a", 1, 9))
+			s.MarkLeft(epoch, "b", 0)
+			s.ApplyHeartbeat(epoch, ready("b", 2, 1))
+		}, PhaseLeft, "b"},
+		{"departure of a restarted server overtakes its first heartbeat", func(s *ServerState) {
+			s.ApplyHeartbeat(epoch, ready("a", 1, 9))
+			s.MarkLeft(epoch, "a", 2)
+			s.ApplyHeartbeat(epoch, ready("a", 2, 1))
+		}, PhaseLeft, "a"},
+		{"departure without start of a restarted server overtakes its first heartbeat", func(s *ServerState) {
+			s.ApplyHeartbeat(epoch, ready("a", 1, 9))
+			s.MarkLeft(epoch, "a", 0)
+			s.ApplyHeartbeat(epoch, ready("a", 2, 1))
+		}, PhaseLeft, "a"},
+		{"departure is the first message", func(s *ServerState) {
+			s.MarkLeft(epoch, "a", 1)
+			for i := range int64(3) {
+				s.ApplyHeartbeat(epoch, ready("a", 1, i+1))
+			}
+		}, PhaseLeft, "a"},
+		{"server starts again under its ID after a departure", func(s *ServerState) {
+			s.ApplyHeartbeat(epoch, ready("a", 1, 1))
+			s.MarkLeft(epoch, "a", 2)
+			s.ApplyHeartbeat(epoch, ready("a", 2, 1))
+			s.ApplyHeartbeat(epoch, ready("a", 3, 1))
+		}, PhaseReady, "a"},
+		{"departure of the next server makes the known one unknown", func(s *ServerState) {
+			s.ApplyHeartbeat(epoch, ready("a", 1, 1))
+			s.ConfirmHealthy(epoch, epoch, "a", 0)
+			s.MarkLeft(epoch, "b", 2)
+		}, PhaseUnknown, "a"},
+		{"heartbeats right after the node's start require a health check", func(s *ServerState) {
+			s.HeartbeatsTrustedFrom = epoch.Add(time.Second)
+			for i := range int64(5) {
+				s.ApplyHeartbeat(epoch, ready("a", 1, i+1))
+			}
+			s.ApplyHeartbeat(epoch, ready("b", 2, 1))
+		}, PhaseUnknown, "b"},
+		{"heartbeats are trusted later", func(s *ServerState) {
+			s.HeartbeatsTrustedFrom = epoch.Add(time.Second)
+			for i := range int64(3) {
+				s.ApplyHeartbeat(epoch.Add(time.Duration(i)*time.Second), ready("a", 1, i+1))
+			}
+		}, PhaseReady, "a"},
+		{"forgotten departure requires a health check", func(s *ServerState) {
+			s.ApplyHeartbeat(epoch, draining("a", 1, 9))
+			for i := range int64(maxDepartures + 1) {
+				s.MarkLeft(epoch, fmt.Sprint("b", i), 2+i)
+			}
+			s.ApplyHeartbeat(epoch, ready("b0", 2, 1))
+		}, PhaseUnknown, "b0"},
 		{"refused connection makes the state unknown", func(s *ServerState) {
 			s.ApplyHeartbeat(epoch, ready("a", 1, 1))
 			s.ConfirmHealthy(epoch, epoch, "a", 0)
