Weigh answers against crashes, and try a refused request once more

Cause: the suspecter counts attempts of different callers with the same content as one request that has crashed three servers. That the servers had answered it before counted for nothing, and as a refused request never runs, nothing could disprove the verdict. The log names it: "the request ran when 3 backend servers crashed".

Change: a request that the crashed incarnation had answered before is not suspected. A refused request runs once more, as a trial on one node of the service at a time, 5 s after its last crash or 8 s after a restore; its answer ends the suspicion everywhere. Why it works: a request that crashes the server that begins to run it is never answered by it, and a harmless one ends its own suspicion. A harmful one crashes one more server, of the three late retries that the users' rule allows.

--- a/crash_suspects.go
+++ b/crash_suspects.go
@@ -167,6 +167,7 @@
 	s.checking = false
 	s.crashTracker.HoldSuspects = false
 	if crashed || inFlight > 1 && s.brokenConnections >= inFlight && s.completed == 0 {
+		s.crashTracker.StartIncarnation()
 		s.node.guard.admissionQueue.Reset()
 		s.node.dependencies.Logger.Named("guard").Warnf("backend server crashed, %d requests lost their connection", s.brokenConnections)
 		return
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -288,18 +288,20 @@
 	n.fanOutCounter = admitter.NewFanOutCounter(clock)
 	runs := &attributor.Attributor{}
 	n.guardian = guardian.New(guardian.Settings{
-		Backend:     backend,
-		IsLeafRoute: func(route string) bool { return n.forwarder.IsLeafRoute(route) },
-		OnChange:    n.notifyBackendChanged,
-		Clock:       clock,
-		HeaderNames: s.HeaderNames,
-		Domain:      s.Domain,
-		Service:     s.Service,
-		Logger:      s.Logger.Named("guardian"),
-		OnRunEnd:    n.fanOutCounter.CountRun,
-		OnSuspects:  n.spreadSuspects,
-		Runs:        runs,
-		Table:       n.table.Load,
+		Backend:      backend,
+		IsLeafRoute:  func(route string) bool { return n.forwarder.IsLeafRoute(route) },
+		OnChange:     n.notifyBackendChanged,
+		Clock:        clock,
+		HeaderNames:  s.HeaderNames,
+		Domain:       s.Domain,
+		Service:      s.Service,
+		Node:         s.Name,
+		ServiceNodes: func() []string { return n.forwarder.ServiceNodes(s.Service) },
+		Logger:       s.Logger.Named("guardian"),
+		OnRunEnd:     n.fanOutCounter.CountRun,
+		OnSuspects:   n.spreadSuspects,
+		Runs:         runs,
+		Table:        n.table.Load,
 	})
 	n.linker = linker.New(n.self, clock, s.Logger.Named("linker"), linker.Handlers{
 		Account:            n.account,
--- a/internal/composer/crash_suspects.go
+++ b/internal/composer/crash_suspects.go
@@ -94,6 +94,6 @@
 // sameSuspects reports whether two lists hold the same suspects with the same crashes.
 func sameSuspects(a, b []suspecter.Suspect) bool {
 	return slices.EqualFunc(a, b, func(p, q suspecter.Suspect) bool {
-		return p.Digest == q.Digest && slices.Equal(p.CrashedIncarnations, q.CrashedIncarnations)
+		return p.Digest == q.Digest && p.LateCrashes == q.LateCrashes && slices.Equal(p.CrashedIncarnations, q.CrashedIncarnations)
 	})
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -184,6 +185,15 @@
 	return count
 }
 
+// ServiceNodes returns the names of the known nodes of a service, connected or not, this one
+// included.
+func (f *Forwarder) ServiceNodes(service string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refreshPeers()
+	return slices.Clone(f.nodesByService[service])
+}
+
 // UpdateFanOuts replaces the fan-outs that a node reported for its backend server.
 func (f *Forwarder) UpdateFanOuts(m linker.Member, fanOuts map[string]linker.FanOut) {
 	f.mu.Lock()
--- a/internal/guardian/crashsuspects.go
+++ b/internal/guardian/crashsuspects.go
@@ -78,11 +78,13 @@
 // RestoreSuspects applies suspects that were stored before this node started. local are those
 // that it has stored itself.
 func (g *Guardian) RestoreSuspects(local, others []suspecter.Suspect) {
-	g.MergeSuspects(others)
-	g.MergeSuspects(local)
 	s := g.suspects
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.clock.Now()
+	for _, p := range slices.Concat(others, local) {
+		s.tracker.Restore(now, p)
+	}
 	s.addLocal(local)
 }
 
@@ -111,6 +113,38 @@
 	return s.tracker.SuspectCount()
 }
 
+// startSuspect records that a call is about to run, under an ID, or refuses it. One that is refused
+// on all nodes may run as a trial if it is this node's turn.
+func (g *Guardian) startSuspect(c *exchanger.Call) (id uint64, refusal *exchanger.Refusal) {
+	s := g.suspects
+	id, refusal = s.start(c)
+	if refusal == nil || refusal.Reason != exchanger.ReasonCrashRequest {
+		return id, refusal
+	}
+	i := suspectIdentity(c).WithDigest()
+	age, allowed := s.trialAge(i)
+	if !allowed || !suspecter.IsTurn(g.ServiceNodes(), g.Node, suspecter.NewDigest(i), age) || !s.startTrial(id, i) {
+		return id, refusal
+	}
+	g.Logger.Infof("call %s runs as a trial, the same request ran when %d backend servers crashed", c.ID, crashesToRefuse)
+	return id, nil
+}
+
+// trialAge returns how long a refused request may have been tried already, and whether it may be
+// tried here if it is this node's turn.
+func (s *crashSuspects) trialAge(i suspecter.RequestIdentity) (age time.Duration, allowed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.TrialAge(s.clock.Now(), suspecter.NewDigest(i))
+}
+
+// startTrial records that a refused request is about to run as a trial, and reports whether it may.
+func (s *crashSuspects) startTrial(id uint64, i suspecter.RequestIdentity) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.StartTrial(s.clock.Now(), id, i)
+}
+
 // start records that a call is about to run, under an ID, or refuses it.
 func (s *crashSuspects) start(c *exchanger.Call) (id uint64, refusal *exchanger.Refusal) {
 	i := s.identity(c)
@@ -160,6 +194,13 @@
 	return changed
 }
 
+// startIncarnation records that another incarnation of the server runs.
+func (s *crashSuspects) startIncarnation() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker.StartIncarnation()
+}
+
 // addLocal adds to the suspects that this node must store. The caller holds the lock.
 func (s *crashSuspects) addLocal(suspects []suspecter.Suspect) {
 	for _, p := range suspects {
--- a/internal/guardian/crashsuspects_test.go
+++ b/internal/guardian/crashsuspects_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,8 @@
 const (
 	crashPath = "/crash"
 	breakPath = "/break"
+	// pagePath is the path of requests that are answered, or held once hold is set.
+	pagePath = "/page"
 )
 
 // crashFixture is a Guardian with a backend server that can crash.
@@ -30,6 +33,8 @@
 	// held receives the paths of the requests that run until release is closed.
 	held    chan string
 	release chan struct{}
+	// hold makes the server hold the requests to pagePath.
+	hold atomic.Bool
 
 	mu sync.Mutex
 	// paths holds the paths of all requests that began to run.
@@ -77,7 +82,7 @@
 		f.crash()
 	case r.URL.Path == breakPath:
 		panic(http.ErrAbortHandler)
-	case strings.HasPrefix(r.URL.Path, "/held"):
+	case strings.HasPrefix(r.URL.Path, "/held"), r.URL.Path == pagePath && f.hold.Load():
 		f.held <- r.URL.Path
 		select {
 		case <-r.Context().Done():
@@ -204,3 +209,53 @@
 		}
 	}
 }
+
+// TestPopularRequestReturnsAfterJointCrash guards against a harmless request that is refused for
+// minutes because it ran on several backend servers that crashed together. If the servers had
+// answered it before, it is not suspected; if not, it is tried again on one node.
+func TestPopularRequestReturnsAfterJointCrash(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		t.Run(fmt.Sprintf("answered before %t", answered), func(t *testing.T) {
+			fixtures := newCrashFixtures(t, crashesToRefuse+1)
+			last := fixtures[crashesToRefuse]
+			crashTogether(t, fixtures[:crashesToRefuse], answered)
+			var refused, tried int
+			for range 100 {
+				last.clock.Advance(100 * time.Millisecond)
+				if got := last.call(pagePath); got != nil {
+					refused++
+				} else if tried++; tried == 1 && !answered {
+					t.Logf("answered again after %d refusals", refused)
+				}
+			}
+			switch {
+			case answered && refused > 0:
+				t.Errorf("got %d of 100 requests refused, want none", refused)
+			case tried == 0:
+				t.Error("got all requests refused for 10 s, want one tried and the others answered")
+			}
+		})
+	}
+}
+
+// crashTogether lets the servers of the fixtures crash while each runs the request to pagePath. If
+// answered is set, each has answered it before.
+func crashTogether(t *testing.T, fixtures []*crashFixture, answered bool) {
+	t.Helper()
+	var calls []chan *exchanger.Refusal
+	for _, f := range fixtures {
+		if answered {
+			if got := f.call(pagePath); got != nil {
+				t.Fatalf("got refusal %v before the crash, want an answer", got)
+			}
+		}
+		f.hold.Store(true)
+		calls = append(calls, f.holdCall(pagePath))
+	}
+	for _, f := range fixtures {
+		f.crash()
+	}
+	for _, c := range calls {
+		<-c
+	}
+}
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -101,8 +101,10 @@
 		// HeaderNames holds the names of the header fields.
 		HeaderNames exchanger.HeaderNames
 		// Domain is the failure domain and Service the service of the
-		// backend server.
-		Domain, Service string
+		// backend server. Node is the name of the node.
+		Domain, Service, Node string
+		// ServiceNodes returns the names of the nodes of the service, this one included.
+		ServiceNodes func() []string
 		// Logger receives state changes and failed calls.
 		Logger *logger.Logger
 		// OnRunEnd is called after each run on the server.
@@ -144,7 +146,7 @@
 		permit.cancel()
 		return nil, refusal
 	}
-	suspectID, refusal := g.suspects.start(c)
+	suspectID, refusal := g.startSuspect(c)
 	if refusal != nil {
 		permit.cancel()
 		rolloutRun.cancel()
@@ -172,6 +174,7 @@
 	outcome := g.server.ApplyHeartbeat(g.Clock.Now(), h)
 	if outcome == HeartbeatNewIncarnation && before.LastHeartbeat.ID != "" {
 		g.recordCrash(before, "a new incarnation has started")
+		g.suspects.startIncarnation()
 		g.restartSpeed()
 	}
 	if outcome != HeartbeatAccepted {
--- a/internal/guardian/guardian_test.go
+++ b/internal/guardian/guardian_test.go
@@ -52,18 +52,20 @@
 		Services: []director.Service{{Name: "ledger", HealthPath: "/health", WarmupRatePerSecond: 20}},
 	}})
 	f.Guardian = New(Settings{
-		IsLeafRoute: func(string) bool { return true },
-		Backend:     &invoker.Invoker{Address: strings.TrimPrefix(server.URL, "http://"), HeaderNames: headerNames},
-		OnChange:    func() {},
-		OnSuspects:  func([]suspecter.Suspect) {},
-		Clock:       f.clock,
-		HeaderNames: headerNames,
-		Domain:      "north",
-		Service:     "ledger",
-		Logger:      logger.New(t.Output(), "info", "n"),
-		OnRunEnd:    func(attributor.Summary) {},
-		Runs:        &attributor.Attributor{},
-		Table:       f.table.Load,
+		IsLeafRoute:  func(string) bool { return true },
+		Backend:      &invoker.Invoker{Address: strings.TrimPrefix(server.URL, "http://"), HeaderNames: headerNames},
+		OnChange:     func() {},
+		OnSuspects:   func([]suspecter.Suspect) {},
+		Clock:        f.clock,
+		HeaderNames:  headerNames,
+		Domain:       "north",
+		Service:      "ledger",
+		Node:         "n",
+		ServiceNodes: func() []string { return []string{"n"} },
+		Logger:       logger.New(t.Output(), "info", "n"),
+		OnRunEnd:     func(attributor.Summary) {},
+		Runs:         &attributor.Attributor{},
+		Table:        f.table.Load,
 	})
 	f.clock.Advance(maxHeartbeatDelay)
 	return f
--- a/internal/suspecter/crashtracker.go
+++ b/internal/suspecter/crashtracker.go
@@ -40,8 +40,8 @@
 	// server is attributed to the request.
 	lostConnectionWindow = 2 * time.Second
 	// maxCrashedIncarnations bounds the incarnations kept for each suspect. It is greater
-	// than any number from which requests are refused.
-	maxCrashedIncarnations = 4
+	// than any number from which requests are refused and their trials together.
+	maxCrashedIncarnations = 8
 )
 
 type (
@@ -73,11 +73,14 @@
 		// Digest identifies the request.
 		Digest Digest
 		// CrashedIncarnations are the distinct incarnations that crashed, at
-		// most four, sorted.
+		// most maxCrashedIncarnations, sorted.
 		CrashedIncarnations []string
 		// ExpiresAt is when the suspicion ends. A suspect that has already
 		// expired retracts its CrashedIncarnations.
 		ExpiresAt time.Time
+		// LateCrashes is the number of crashes, at different times, since the request is
+		// refused, up to maxTrials.
+		LateCrashes int
 	}
 
 	// CrashTracker tracks the requests in flight and the suspects known to the
@@ -99,10 +102,12 @@
 		runningSuspectID uint64
 		inFlight         map[uint64]RequestIdentity
 		lostRequests     []lostRequest
-		suspects         map[Digest]*Suspect
+		suspects         map[Digest]*suspicion
+		// answered holds requests that the present incarnation of the server has answered.
+		answered answeredCache
 		// retracted holds the crashes of which requests are not suspected any more,
 		// until the suspicions would have expired. Other nodes may still report them.
-		retracted map[Digest]*Suspect
+		retracted map[Digest]*suspicion
 	}
 
 	// Verdict is the decision about a request.
@@ -111,7 +116,9 @@
 	// lostRequest is a request whose connection was lost. It does not hold the body.
 	lostRequest struct {
 		digest Digest
-		lostAt time.Time
+		// answered says that the incarnation had answered the same request before.
+		answered bool
+		lostAt   time.Time
 	}
 )
 
@@ -178,18 +185,19 @@
 
 // RecordCrash records that an incarnation of the backend server crashed or
 // appears to have crashed. Requests whose connection was lost shortly before
-// become suspects. The returned suspects must be sent to the other nodes.
+// become suspects, but for those that the incarnation had answered before. The returned
+// suspects must be sent to the other nodes.
 func (t *CrashTracker) RecordCrash(now time.Time, incarnation string) (changed []Suspect) {
 	expiresAt := now.Add(t.suspicionDuration())
 	seen := map[Digest]bool{}
 	for _, l := range t.lostRequests {
 		d := l.digest
-		if seen[d] || now.Sub(l.lostAt) > lostConnectionWindow {
+		if seen[d] || l.answered || now.Sub(l.lostAt) > lostConnectionWindow {
 			continue
 		}
 		seen[d] = true
 		if p := t.addSuspicion(now, Suspect{Digest: d, CrashedIncarnations: []string{incarnation}, ExpiresAt: expiresAt}); p != nil {
-			changed = append(changed, *p)
+			changed = append(changed, p.Suspect)
 		}
 	}
 	t.lostRequests = nil
@@ -201,7 +209,11 @@
 // then returned and must be sent to the other nodes.
 func (t *CrashTracker) Finish(now time.Time, id uint64, serverSurvived bool) (changed []Suspect) {
 	i, found := t.removeInFlight(id)
-	if !found || !serverSurvived || len(t.suspects) == 0 {
+	if !found || !serverSurvived {
+		return nil
+	}
+	t.answered.add(i)
+	if len(t.suspects) == 0 {
 		return nil
 	}
 	d := NewDigest(i)
@@ -217,6 +229,12 @@
 	return []Suspect{retraction}
 }
 
+// StartIncarnation records that another incarnation of the backend server runs. It may not bear
+// what earlier ones have answered.
+func (t *CrashTracker) StartIncarnation() {
+	t.answered.clear()
+}
+
 // RecordLostConnection records that the connection of a request was lost,
 // possibly because its server crashed.
 func (t *CrashTracker) RecordLostConnection(now time.Time, id uint64) {
@@ -226,7 +244,7 @@
 	}
 	t.lostRequests = slices.DeleteFunc(t.lostRequests, func(l lostRequest) bool { return now.Sub(l.lostAt) > lostConnectionWindow })
 	if len(t.lostRequests) < t.maxSuspects() {
-		t.lostRequests = append(t.lostRequests, lostRequest{digest: NewDigest(i), lostAt: now})
+		t.lostRequests = append(t.lostRequests, lostRequest{digest: NewDigest(i), answered: t.answered.contains(fingerprint(i)), lostAt: now})
 	}
 }
 
@@ -237,17 +255,33 @@
 	if !p.ExpiresAt.After(now) {
 		return t.retract(now, p)
 	}
-	before := crashCount(t.suspects[p.Digest])
+	var before Suspect
+	if known := t.suspects[p.Digest]; known != nil {
+		before = known.Suspect
+	}
 	p.ExpiresAt = earlier(p.ExpiresAt, now.Add(t.suspicionDuration()))
-	t.addSuspicion(now, p)
-	return crashCount(t.suspects[p.Digest]) > before
+	known := t.addSuspicion(now, p)
+	return known != nil && (len(known.CrashedIncarnations) > len(before.CrashedIncarnations) || known.LateCrashes > before.LateCrashes)
+}
+
+// Restore applies a suspect that was stored before this process started.
+func (t *CrashTracker) Restore(now time.Time, p Suspect) {
+	lateCrashes := min(maxTrials, p.LateCrashes)
+	if known := t.find(now, p.Digest); known != nil {
+		lateCrashes = max(lateCrashes, known.LateCrashes)
+	}
+	t.Merge(now, p)
+	if known := t.suspects[p.Digest]; known != nil {
+		known.trialsFrom = now.Add(restoredTrialDelay)
+		known.LateCrashes = lateCrashes
+	}
 }
 
 // Isolated returns the suspects that run alone or are refused.
 func (t *CrashTracker) Isolated(now time.Time) (suspects []Suspect) {
 	for _, p := range t.suspects {
 		if len(p.CrashedIncarnations) >= t.crashesToIsolate() && p.ExpiresAt.After(now) {
-			suspects = append(suspects, *p)
+			suspects = append(suspects, p.Suspect)
 		}
 	}
 	return suspects
@@ -274,14 +308,18 @@
 	if v != VerdictRun {
 		return v, timeLeft
 	}
+	t.addInFlight(id, i)
+	return VerdictRun, 0
+}
+
+func (t *CrashTracker) addInFlight(id uint64, i RequestIdentity) {
 	if t.inFlight == nil {
 		t.inFlight = map[uint64]RequestIdentity{}
 	}
 	t.inFlight[id] = i
-	return VerdictRun, 0
 }
 
-func (t *CrashTracker) find(now time.Time, d Digest) *Suspect {
+func (t *CrashTracker) find(now time.Time, d Digest) *suspicion {
 	p, found := t.suspects[d]
 	if !found {
 		return nil
@@ -317,9 +355,9 @@
 
 // addSuspicion merges p into the suspects and returns the merged suspect; nil if all crashes
 // of p have been retracted.
-func (t *CrashTracker) addSuspicion(now time.Time, p Suspect) *Suspect {
+func (t *CrashTracker) addSuspicion(now time.Time, p Suspect) *suspicion {
 	if t.suspects == nil {
-		t.suspects = map[Digest]*Suspect{}
+		t.suspects = map[Digest]*suspicion{}
 	}
 	if r := t.retracted[p.Digest]; r != nil {
 		p.CrashedIncarnations = without(p.CrashedIncarnations, r.CrashedIncarnations)
@@ -330,8 +368,12 @@
 	known := t.find(now, p.Digest)
 	if known == nil {
 		evictSuspect(now, t.suspects, t.maxSuspects())
-		known = &Suspect{Digest: p.Digest}
+		known = &suspicion{Suspect: Suspect{Digest: p.Digest}}
+		// How many of the crashes are late ones is not known; all that may be count.
+		known.LateCrashes = min(maxTrials, max(0, len(p.CrashedIncarnations)-t.crashesToRefuse()))
 		t.suspects[p.Digest] = known
+	} else if len(known.CrashedIncarnations) >= t.crashesToRefuse() && p.ExpiresAt.Sub(known.ExpiresAt) > jointCrashTime {
+		known.LateCrashes = min(maxTrials, known.LateCrashes+1)
 	}
 	known.CrashedIncarnations = union(known.CrashedIncarnations, p.CrashedIncarnations)
 	if p.ExpiresAt.After(known.ExpiresAt) {
@@ -352,17 +394,17 @@
 // evictSuspect makes room for a new suspect if there are maxSuspects. It drops expired
 // suspects or, if there are none, the suspect with the fewest crashed incarnations, of
 // those the one that expires first.
-func evictSuspect(now time.Time, suspects map[Digest]*Suspect, maxSuspects int) {
+func evictSuspect(now time.Time, suspects map[Digest]*suspicion, maxSuspects int) {
 	if len(suspects) < maxSuspects {
 		return
 	}
-	var evicted *Suspect
+	var evicted *suspicion
 	for d, p := range suspects {
 		if !p.ExpiresAt.After(now) {
 			delete(suspects, d)
 			continue
 		}
-		if evicted == nil || p.isEvictedBefore(evicted) {
+		if evicted == nil || p.isEvictedBefore(&evicted.Suspect) {
 			evicted = p
 		}
 	}
@@ -381,12 +423,12 @@
 		}
 	}
 	if t.retracted == nil {
-		t.retracted = map[Digest]*Suspect{}
+		t.retracted = map[Digest]*suspicion{}
 	}
 	r := t.retracted[p.Digest]
 	if r == nil {
 		evictSuspect(now, t.retracted, t.maxSuspects())
-		r = &Suspect{Digest: p.Digest}
+		r = &suspicion{Suspect: Suspect{Digest: p.Digest}}
 		t.retracted[p.Digest] = r
 	}
 	before := crashCount(r)
@@ -397,7 +439,7 @@
 
 // crashCount returns the number of crashed incarnations that are known of a suspect, which
 // may be nil.
-func crashCount(p *Suspect) int {
+func crashCount(p *suspicion) int {
 	if p == nil {
 		return 0
 	}
