Keep what limits customers that a configuration lacks

Cause: Buckets.SetLimits dropped the bucket of a customer that the limits lack, and gave a customer without a bucket a full one. The same held for the common retries of a service; for a node that started under the configuration without the customer; and for the warm-up rate of a server whose service a configuration lacked.

Change: a bucket stays until an empty one would be full again, at most 4,096 of them. One that is new counts as spent by the start of the node, or by the time at which a bucket was dropped too early. The guardian keeps the warm-up rate of the newest configuration that has its service. Why it works: when a bucket is dropped, a full one allows nothing that the limit does not. What limits nothing, backoffs and last grants, goes with the customer.

--- a/internal/admitter/ratelimiter.go
+++ b/internal/admitter/ratelimiter.go
@@ -189,7 +189,17 @@
 	defer l.mu.Unlock()
 	l.limits = limits
 	l.setShares(d)
-	maps.DeleteFunc(l.holders, func(name string, _ *limitHolders) bool { _, found := limits[name]; return !found })
+	l.prune()
+}
+
+// prune drops what is kept of limits that are not in force any more and does not limit anything.
+// The caller holds the lock.
+func (l *DistributedRateLimiter) prune() {
+	now := l.clock.Now()
+	known := func(key string) bool { _, found := l.limits[key]; return found }
+	maps.DeleteFunc(l.holders, func(key string, _ *limitHolders) bool { return !known(key) })
+	maps.DeleteFunc(l.backoffs, func(key string, b backoff) bool { return !known(key) && now.After(b.until) })
+	maps.DeleteFunc(l.lastGrantMilliTokens, func(k grantKey, _ int64) bool { return !known(k.key) })
 }
 
 // setShares sets this node's shares of all limits. With the first complete view of the delegates
--- a/internal/admitter/ratelimiter_test.go
+++ b/internal/admitter/ratelimiter_test.go
@@ -227,3 +227,76 @@
 		t.Errorf("got %d requests admitted in 10 s, want at least 80 of 100", admitted)
 	}
 }
+
+// TestLimitsOutliveConfigurationsThatLackThem guards against customers and services that get their
+// whole burst anew because a configuration lacks them and the next one has them again.
+func TestLimitsOutliveConfigurationsThatLackThem(t *testing.T) {
+	customer := director.Customer{Name: "pond", RatePerSecond: 40, BurstRequests: 40}
+	config := func(revision uint64, listed bool) *director.Table {
+		c := &director.Config{Services: []director.Service{{Name: "other"}}}
+		if listed {
+			c.Customers, c.Services = []director.Customer{customer}, append(c.Services, director.Service{Name: "desk"})
+		}
+		return director.NewTable(director.State{Revision: revision, Config: c})
+	}
+	tests := []struct {
+		name string
+		take func(l *DistributedRateLimiter) bool
+		// most is the limit in 5 s.
+		most int
+	}{
+		{"customer", func(l *DistributedRateLimiter) bool { return l.Charge(t.Context(), &customer) }, 40*5 + 40 + 44},
+		{"retries of a service", func(l *DistributedRateLimiter) bool {
+			return l.ChargeRetry(t.Context(), map[string]float64{"desk": 1})
+		}, 48},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newLimiterCluster(4, 2, customer)
+			for _, name := range f.names {
+				f.limiters[name].tolerance.ExtraRetries = 48
+				f.limiters[name].SetLimits(config(1, true))
+			}
+			f.clock.Advance(20 * time.Second)
+			taken := 0
+			for step := range 50 {
+				f.clock.Advance(100 * time.Millisecond)
+				for i, name := range f.names {
+					l := f.limiters[name]
+					listed := (step+i)%4 < 2
+					l.SetLimits(config(uint64(2+step), listed))
+					for range 20 {
+						// Requests of a customer that the configuration lacks are
+						// refused before.
+						if listed && tt.take(l) {
+							taken++
+						}
+					}
+				}
+			}
+			if taken > tt.most {
+				t.Errorf("got %d in 5 s, want at most %d", taken, tt.most)
+			}
+		})
+	}
+}
+
+// TestStateOfFormerCustomersIsDropped guards against memory that grows with the customers that
+// come and go.
+func TestStateOfFormerCustomersIsDropped(t *testing.T) {
+	f := newLimiterCluster(3, 3, director.Customer{Name: "pond", RatePerSecond: 1, BurstRequests: 1})
+	l := f.limiters["n0"]
+	for i := range 2000 {
+		f.clock.Advance(10 * time.Second)
+		c := director.Customer{Name: fmt.Sprint("pond-", i), RatePerSecond: 1, BurstRequests: 1}
+		l.SetLimits(director.NewTable(director.State{Revision: uint64(2 + i), Config: &director.Config{Customers: []director.Customer{c}}}))
+		for range 40 {
+			l.Charge(t.Context(), &c)
+		}
+	}
+	for name, got := range map[string]int{"holders": len(l.holders), "backoffs": len(l.backoffs), "last grants": len(l.lastGrantMilliTokens)} {
+		if got > 10 {
+			t.Errorf("got %d %s, want at most 10", got, name)
+		}
+	}
+}
--- a/internal/guardian/availability.go
+++ b/internal/guardian/availability.go
@@ -72,11 +72,14 @@
 		g.queue.close(refusal)
 		return
 	}
-	limits := serverLimits{slots: g.server.LastHeartbeat.Slots, coldUntil: g.server.ColdUntil}
 	if s := table.Service(g.Service); s != nil {
-		limits.warmupRatePerSecond = s.WarmupRatePerSecond
+		g.warmupRatePerSecond = s.WarmupRatePerSecond
 	}
-	g.queue.open(limits)
+	g.queue.open(serverLimits{
+		slots:               g.server.LastHeartbeat.Slots,
+		coldUntil:           g.server.ColdUntil,
+		warmupRatePerSecond: g.warmupRatePerSecond,
+	})
 }
 
 // closedState returns the state of the server and the refusal for calls while it is
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -39,6 +39,9 @@
 		// evacuated reports whether the failure domain is out of service.
 		evacuated bool
 		stopping  bool
+		// warmupRatePerSecond is the highest request rate of the server while it is cold,
+		// from the newest configuration that has the service; 0 sets no limit.
+		warmupRatePerSecond float64
 		// state is stateOpen, or the reason for which the server is closed.
 		state        string
 		lastSequence uint64
--- a/internal/guardian/return_test.go
+++ b/internal/guardian/return_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/flamingotack/flamingotack/internal/director"
 )
 
 // newReturnedFixture returns a Guardian whose backend server has become cold while its failure
@@ -67,3 +70,21 @@
 		t.Errorf("got %d health checks after the late heartbeat, want another one", got-before)
 	}
 }
+
+// TestColdServerIsPacedWithoutItsService guards against full load on a cold server because a
+// configuration lacks its service for a moment.
+func TestColdServerIsPacedWithoutItsService(t *testing.T) {
+	f := newFixture(t, writeSealed)
+	f.announce(50, 3*time.Second)
+	s := f.table.Load().State
+	s.Config = &director.Config{Version: 2}
+	f.setState(s)
+	f.ReloadConfig()
+	for i := range 50 {
+		go func() { _, _ = f.HandleCall(t.Context(), f.newCall(fmt.Sprint(i))) }()
+	}
+	time.Sleep(100 * time.Millisecond)
+	if got := f.runs.Load(); got > 2 {
+		t.Errorf("got %d runs on the cold server at once, want at most 2", got)
+	}
+}
--- a/internal/rationer/buckets.go
+++ b/internal/rationer/buckets.go
@@ -6,7 +6,11 @@
 // uses no clock and does no input or output.
 package rationer
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// keptFraction is the fraction of its tokens that a node keeps when others request
@@ -21,6 +25,8 @@
 	// surplusLifetime is how long tokens above the node's own share are kept, so that no
 	// node accumulates grants.
 	surplusLifetime = 500 * time.Millisecond
+	// maxRetired bounds the buckets that are kept for customers whom the limits lack.
+	maxRetired = 4096
 )
 
 type (
@@ -30,7 +36,7 @@
 		RatePerSecond float64
 		// BurstRequests is the number of requests allowed above the rate.
 		BurstRequests float64
-		// StartsFull reports whether a node that starts may spend its share at
+		// StartsFull reports whether a node may spend its share of a new limit at
 		// once, because the limit allows for what an earlier incarnation of the
 		// node has spent.
 		StartsFull bool
@@ -40,6 +46,10 @@
 	// zero value is ready for use. It is not safe for concurrent use.
 	Buckets struct {
 		byCustomer map[string]*bucket
+		// spentBy is the latest time at which the tokens of a customer without a bucket
+		// may have been spent: when the node started, or when a bucket was dropped too
+		// early for lack of room.
+		spentBy time.Time
 	}
 
 	// bucket is the node's share of one customer's limit.
@@ -52,6 +62,8 @@
 		filledAt   time.Time
 		// surplusAddedAt is when tokens were last added beyond the refill.
 		surplusAddedAt time.Time
+		// retiredAt is since when the limits lack the customer; zero while they have it.
+		retiredAt time.Time
 	}
 )
 
@@ -104,36 +116,52 @@
 	return granted
 }
 
-// SetLimits sets the limits in force, by customer. A customer that is new since the previous
-// limits starts with a full bucket. Among the first limits that the node knows, only those
-// with StartsFull start full, because an earlier incarnation of the node may have spent the
-// tokens of the others. shareCount returns the number of nodes that have a share of a customer's limit,
-// as for Admit.
+// SetLimits sets the limits in force, by customer. A customer that is new has a full bucket, unless
+// its tokens may have been spent before: by an earlier incarnation of the node, or before
+// earlier limits that had the customer were replaced. shareCount returns the number of nodes that
+// have a share of a customer's limit, as for Admit.
 func (r *Buckets) SetLimits(now time.Time, limits map[string]Limit, shareCount func(customer string) int) {
-	first := r.byCustomer == nil
 	for name, limit := range limits {
-		known := r.byCustomer[name] != nil
 		b := r.refilledBucket(now, name, limit, shareCount(name))
-		if !known && (!first || limit.StartsFull) {
-			b.tokens = b.capacity()
-		}
+		b.retiredAt = time.Time{}
 	}
-	for name := range r.byCustomer {
-		if _, found := limits[name]; !found {
+	r.retire(now, limits)
+}
+
+// retire drops the buckets of customers whom the limits lack once they would be full again. Until
+// then the customers may return with the tokens that they have.
+func (r *Buckets) retire(now time.Time, limits map[string]Limit) {
+	var retired []string
+	for name, b := range r.byCustomer {
+		if _, found := limits[name]; found {
+			continue
+		}
+		if b.retiredAt.IsZero() {
+			b.retiredAt = now
+		}
+		if now.Sub(b.retiredAt) >= b.limit.fillTime() {
 			delete(r.byCustomer, name)
+			continue
 		}
+		retired = append(retired, name)
+	}
+	if len(retired) <= maxRetired {
+		return
+	}
+	slices.SortFunc(retired, func(a, b string) int {
+		return cmp.Or(r.byCustomer[a].retiredAt.Compare(r.byCustomer[b].retiredAt), cmp.Compare(a, b))
+	})
+	for _, name := range retired[:len(retired)-maxRetired] {
+		delete(r.byCustomer, name)
 	}
+	r.spentBy = now
 }
 
-// refilledBucket returns the bucket of a customer, refilled up to now. A new one is empty.
+// refilledBucket returns the bucket of a customer, refilled up to now.
 func (r *Buckets) refilledBucket(now time.Time, customer string, limit Limit, shareCount int) *bucket {
 	b := r.byCustomer[customer]
 	if b == nil {
-		if r.byCustomer == nil {
-			r.byCustomer = map[string]*bucket{}
-		}
-		b = &bucket{limit: limit, shareCount: shareCount, filledAt: now}
-		r.byCustomer[customer] = b
+		b = r.addBucket(now, customer, limit, shareCount)
 	}
 	b.refill(now)
 	if limit != b.limit || shareCount != b.shareCount {
@@ -143,6 +171,24 @@
 	return b
 }
 
+// addBucket adds a bucket that was empty at the time by which its tokens may have been spent.
+func (r *Buckets) addBucket(now time.Time, customer string, limit Limit, shareCount int) *bucket {
+	if r.byCustomer == nil {
+		r.byCustomer, r.spentBy = map[string]*bucket{}, now
+	}
+	b := &bucket{limit: limit, shareCount: shareCount, filledAt: r.spentBy}
+	if limit.StartsFull {
+		b.tokens = b.capacity()
+	}
+	r.byCustomer[customer] = b
+	return b
+}
+
+// fillTime returns the time in which an empty bucket becomes full.
+func (l Limit) fillTime() time.Duration {
+	return time.Duration(l.BurstRequests / l.RatePerSecond * float64(time.Second))
+}
+
 // refill adds the tokens of the rate since the last refill, up to the capacity, and drops an
 // expired surplus.
 func (b *bucket) refill(now time.Time) {
