Check a server that may have started anew before it gets calls

Cause: the node found each kept connection closed, dialed anew and told nobody. Only a refused dial, a 421, the return of a failure domain or a heartbeat asked for a health check. The log showed none between the restart and the late heartbeat.

Change: if no open connection shows that the server is still the process that answered before, calls wait for a health check, at most 250 ms, and then get the rate of a cold server until a check or three heartbeats tell more. That holds for the first call after a silence and after a connection broke; answers of health checks and polls count for the warm-up whatever their status. A server without a warm-up rate is not concerned. Why it works: a process that ends closes its connections, so an open one that has carried a request shows that there was no restart.

--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -29,6 +29,7 @@
 		{"flamingotack.server.loads.rejected", "Times at which the work figure of the backend server ceased to agree with measured run times.", n.guardian.RejectedLoads},
 		{"flamingotack.server.loads.polled", "Health checks that were sent to the backend server for its load alone.", n.guardian.LoadPolls},
 		{"flamingotack.runs", "Calls that were sent to the backend server.", n.guardian.CallsSent.Load},
+		{"flamingotack.server.suspicions", "Times at which the backend server may have started anew without a heartbeat that told it.", n.guardian.RestartSuspicions.Load},
 		{"flamingotack.answers.invalid", "Answers of the backend server that were none.", n.guardian.Backend.InvalidResponses.Load},
 	} {
 		if err := n.settings.Meter.RegisterCounter(c.name, c.description, c.value); err != nil {
--- a/internal/guardian/availability.go
+++ b/internal/guardian/availability.go
@@ -77,8 +77,9 @@
 	}
 	g.queue.open(serverLimits{
 		slots:               g.server.LastHeartbeat.Slots,
-		coldUntil:           g.server.ColdUntil,
+		coldUntil:           g.server.PacedUntil(g.Clock.Now()),
 		warmupRatePerSecond: g.warmupRatePerSecond,
+		held:                g.server.AwaitsCheck(),
 	})
 }
 
@@ -121,22 +122,47 @@
 	sentAt := g.Clock.Now()
 	response, err := g.Backend.Send(ctx, &invoker.Request{Method: http.MethodGet, Target: s.HealthPath, Host: g.Backend.Address})
 	if err != nil {
-		g.Logger.Warnf("health check failed: %v", err)
+		g.handleFailedCheck(err)
 		return false
 	}
 	g.observeServerLoad(response)
+	return g.applyCheck(sentAt, response)
+}
+
+// applyCheck applies the answer to a health check and reports whether the server's state is known
+// afterwards.
+func (g *Guardian) applyCheck(sentAt time.Time, response *invoker.Response) bool {
 	id := response.Header.Get(g.HeaderNames.Instance)
 	warmup, err := parseWarmup(response.Header.Get(g.HeaderNames.Warmup))
-	if response.Status != http.StatusOK || err != nil {
-		g.Logger.Warnf("health check of backend server %s failed: status %d, error %v", id, response.Status, err)
+	if err != nil {
+		g.Logger.Warnf("health check of backend server %s failed: %v", id, err)
 		return false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.Logger.Infof("health check of backend server %s succeeded, warmup %s", id, warmup)
-	g.server.ConfirmHealthy(sentAt, g.Clock.Now(), id, warmup)
+	now := g.Clock.Now()
+	if response.Status == http.StatusOK {
+		g.Logger.Infof("health check of backend server %s succeeded, warmup %s", id, warmup)
+		g.server.ConfirmHealthy(sentAt, now, id, warmup)
+	} else {
+		g.Logger.Warnf("health check of backend server %s failed: status %d, warmup %s", id, response.Status, warmup)
+		g.server.ConfirmWarmup(sentAt, now, id, warmup)
+	}
+	g.applyState()
+	return !g.server.NeedsCheck(now)
+}
+
+// handleFailedCheck handles a health check without an answer. A server that may have started anew
+// and refuses the connection needs another one before it gets calls.
+func (g *Guardian) handleFailedCheck(err error) {
+	g.Logger.Warnf("health check failed: %v", err)
+	if !isConnectionRefused(err) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.server.MarkUnknown()
 	g.applyState()
-	return !g.server.NeedsCheck(g.Clock.Now())
 }
 
 // requestHealthCheck wakes Run. It does not block.
--- a/internal/guardian/callqueue.go
+++ b/internal/guardian/callqueue.go
@@ -75,6 +75,8 @@
 		// warmupRatePerSecond is the highest request rate of a cold server; 0
 		// sets no limit.
 		warmupRatePerSecond float64
+		// held says that calls wait until the limits are known.
+		held bool
 	}
 
 	// permit allows one call to run until it is released.
@@ -143,6 +145,13 @@
 	report.OfferedSlots = q.offeredSlotSeconds.Value(now, offeredDecayTime) / offeredDecayTime.Seconds()
 }
 
+// isQuiet reports whether the queue is open and no call runs.
+func (q *callQueue) isQuiet() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.closedRefusal == nil && !q.limits.held && q.running == 0
+}
+
 // length returns the number of calls that wait.
 func (q *callQueue) length() int {
 	q.mu.Lock()
@@ -232,7 +241,7 @@
 
 // dispatch starts as many queued calls as the limits allow. The caller holds the lock.
 func (q *callQueue) dispatch(now time.Time) {
-	if q.closedRefusal != nil {
+	if q.closedRefusal != nil || q.limits.held {
 		return
 	}
 	for q.scheduler.Len() > 0 && q.running < q.concurrencyLimit() {
--- a/internal/guardian/crashsuspects.go
+++ b/internal/guardian/crashsuspects.go
@@ -238,6 +238,9 @@
 		return r
 	}
 	g.probeForCrash(g.suspects.recordLost(id, c))
+	if !g.Backend.HasLiveConn() {
+		g.suspectRestart("a connection to it broke")
+	}
 	if !g.suspects.refused(c) {
 		return r
 	}
--- a/internal/guardian/crashsuspects_test.go
+++ b/internal/guardian/crashsuspects_test.go
@@ -35,6 +35,9 @@
 	release chan struct{}
 	// hold makes the server hold the requests to pagePath.
 	hold atomic.Bool
+	// answerHealth answers health checks; nil answers them like other requests.
+	answerHealth http.HandlerFunc
+	checks       atomic.Int64
 
 	mu sync.Mutex
 	// paths holds the paths of all requests that began to run.
@@ -78,6 +81,9 @@
 	f.paths = append(f.paths, r.URL.Path)
 	f.mu.Unlock()
 	switch {
+	case r.URL.Path == "/health" && f.answerHealth != nil:
+		f.checks.Add(1)
+		f.answerHealth(w, r)
 	case r.URL.Path == crashPath:
 		f.crash()
 	case r.URL.Path == breakPath:
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -28,6 +28,9 @@
 		Settings
 		// CallsSent counts the calls that were sent to the backend server.
 		CallsSent atomic.Int64
+		// RestartSuspicions counts the times at which the backend server may have started
+		// anew without a heartbeat that told it.
+		RestartSuspicions atomic.Int64
 
 		queue             *callQueue
 		speed             speedMonitor
@@ -140,6 +143,7 @@
 	if c.Service != g.Service {
 		return nil, exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonUnreachable, "the node runs service %q, not %q", g.Service, c.Service)
 	}
+	g.verifyContinuity()
 	permit, refusal := g.queue.acquire(ctx, c)
 	if refusal != nil {
 		return nil, refusal
--- a/internal/guardian/serverspeed.go
+++ b/internal/guardian/serverspeed.go
@@ -93,12 +93,25 @@
 	g.speed.polls.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
 	defer cancel()
+	sentAt := g.Clock.Now()
 	response, err := g.Backend.Send(ctx, &invoker.Request{Method: http.MethodGet, Target: service.HealthPath, Host: g.Backend.Address})
-	if err == nil && response.Header.Get(g.HeaderNames.Instance) == g.instanceID() {
-		g.observeServerLoad(response)
+	if err != nil || response.Header.Get(g.HeaderNames.Instance) != g.instanceID() {
+		return
+	}
+	g.observeServerLoad(response)
+	if warmup, err := parseWarmup(response.Header.Get(g.HeaderNames.Warmup)); err == nil && warmup > 0 {
+		g.applyPolledWarmup(sentAt, warmup)
 	}
 }
 
+// applyPolledWarmup applies the warm-up of a server that has turned cold unnoticed.
+func (g *Guardian) applyPolledWarmup(sentAt time.Time, warmup time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.server.ConfirmWarmup(sentAt, g.Clock.Now(), g.server.LastHeartbeat.ID, warmup)
+	g.applyState()
+}
+
 // loadStale reports whether the work figure is due to be polled, and notes the time of the
 // poll if it is.
 func (g *Guardian) loadStale() bool {
--- a/internal/guardian/serverstate.go
+++ b/internal/guardian/serverstate.go
@@ -26,6 +26,8 @@
 	maxHeartbeatDelay = 10 * time.Second
 	// MaxWarmup is the longest warm-up that a heartbeat may tell.
 	MaxWarmup = time.Hour
+	// unresolvedWarmup is how long a server counts as cold at least if it may have started anew.
+	unresolvedWarmup = time.Second
 	// maxWarmupDifference is how much earlier a heartbeat may end the warm-up than the last
 	// health check without being disputed. Answers take that long to arrive.
 	maxWarmupDifference = 500 * time.Millisecond
@@ -76,6 +78,9 @@
 		// with this ID told. A heartbeat does not say when it was sent, so none ends the
 		// warm-up earlier.
 		checkedColdUntil time.Time
+		// restartSuspected is set while the server may have started anew since its last
+		// heartbeat, restartUnresolved once a health check has not told whether it has.
+		restartSuspected, restartUnresolved bool
 		// warmupDisputed is set once a heartbeat told a warm-up that ends much earlier than
 		// checkedColdUntil, until the next health check.
 		warmupDisputed bool
@@ -133,7 +138,8 @@
 // NeedsCheck reports whether only a health check can tell whether the server accepts requests,
 // or until when it is cold.
 func (s *ServerState) NeedsCheck(now time.Time) bool {
-	return s.LastHeartbeat.ID != "" && (s.Phase == PhaseUnknown || s.Phase == PhaseReady && s.warmupDisputed && now.Before(s.checkedColdUntil))
+	disputed := s.restartSuspected || s.warmupDisputed && now.Before(s.checkedColdUntil)
+	return s.LastHeartbeat.ID != "" && (s.Phase == PhaseUnknown || s.Phase == PhaseReady && disputed)
 }
 
 // ConfirmHealthy applies a successful health check, which was sent at sentAt and marks the
@@ -144,7 +150,20 @@
 		return
 	}
 	s.Phase = PhaseReady
+	s.applyCheckedWarmup(sentAt, now, warmup)
+}
+
+// ConfirmWarmup applies a health check that has reached the server and tells its warm-up, whether
+// it calls the server healthy or not.
+func (s *ServerState) ConfirmWarmup(sentAt, now time.Time, id string, warmup time.Duration) {
+	if id == s.LastHeartbeat.ID && s.Phase == PhaseReady {
+		s.applyCheckedWarmup(sentAt, now, warmup)
+	}
+}
+
+func (s *ServerState) applyCheckedWarmup(sentAt, now time.Time, warmup time.Duration) {
 	s.warmupDisputed = false
+	s.endSuspicion()
 	s.checkedColdUntil = coldUntil(now, warmup)
 	if s.heartbeatAt.Before(sentAt) || s.checkedColdUntil.After(s.ColdUntil) {
 		// Otherwise the heartbeat may be the later word.
@@ -152,12 +171,48 @@
 	}
 }
 
+// SuspectRestart records that a ready server may have started anew, which only a health check or
+// several heartbeats can tell. It reports whether that is news.
+func (s *ServerState) SuspectRestart() (isNews bool) {
+	if s.Phase != PhaseReady || s.restartSuspected {
+		return false
+	}
+	s.restartSuspected = true
+	s.unconfirmedHeartbeats = 0
+	return true
+}
+
+// LeaveRestartUnresolved records that no health check has told soon whether the server has started
+// anew. It then counts as cold until one does.
+func (s *ServerState) LeaveRestartUnresolved() {
+	s.restartUnresolved = s.restartSuspected
+}
+
+// AwaitsCheck reports whether calls should wait for a health check, as the server may have started
+// anew.
+func (s *ServerState) AwaitsCheck() bool {
+	return s.restartSuspected && !s.restartUnresolved
+}
+
+// PacedUntil returns until when the server gets calls at the rate of a cold one.
+func (s *ServerState) PacedUntil(now time.Time) time.Time {
+	if unresolved := now.Add(unresolvedWarmup); s.restartUnresolved && unresolved.After(s.ColdUntil) {
+		return unresolved
+	}
+	return s.ColdUntil
+}
+
+func (s *ServerState) endSuspicion() {
+	s.restartSuspected, s.restartUnresolved = false, false
+}
+
 // MarkUnknown makes a ready server need confirmation, for example because it refuses
 // connections.
 func (s *ServerState) MarkUnknown() {
 	if s.Phase == PhaseReady {
 		s.Phase = PhaseUnknown
 		s.unconfirmedHeartbeats = 0
+		s.endSuspicion()
 	}
 }
 
@@ -225,6 +280,7 @@
 	}
 	s.LastHeartbeat = h
 	s.lateHeartbeats, s.lateSequence = 0, 0
+	s.endSuspicion()
 	s.unconfirmedHeartbeats = 1
 	switch {
 	case s.departures.bind(h):
@@ -253,8 +309,12 @@
 		s.Phase = PhaseDraining
 		return HeartbeatLeaving
 	}
-	if s.Phase == PhaseUnknown && s.unconfirmedHeartbeats >= minTrustedHeartbeats && s.trusts(now, h) {
-		s.Phase = PhaseReady
+	if s.unconfirmedHeartbeats >= minTrustedHeartbeats {
+		// A server that had started anew would have told another start by now.
+		s.endSuspicion()
+		if s.Phase == PhaseUnknown && s.trusts(now, h) {
+			s.Phase = PhaseReady
+		}
 	}
 	s.setWarmup(now, h.WarmupRemaining)
 	return HeartbeatAccepted
--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -75,6 +76,8 @@
 		mu             sync.Mutex
 		idle           []*conn
 		opened         int64
+		// answeredAt is when the last response ended.
+		answeredAt time.Time
 	}
 
 	// Request is an HTTP request to the backend server.
@@ -122,6 +125,34 @@
 	return v.opened
 }
 
+// HasLiveConn reports whether an idle connection that has carried a request is still open, so that
+// the server has not started anew since that request. It drops those that are closed.
+func (v *Invoker) HasLiveConn() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.prune(time.Now())
+	for i := len(v.idle) - 1; i >= 0; i-- {
+		c := v.idle[i]
+		if !c.reusable() {
+			c.socket.Close()
+			v.idle = slices.Delete(v.idle, i, i+1)
+			continue
+		}
+		if c.kept {
+			return true
+		}
+	}
+	return false
+}
+
+// SinceLastAnswer returns the time since the last response ended, or since the zero time if there
+// was none.
+func (v *Invoker) SinceLastAnswer() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return time.Since(v.answeredAt)
+}
+
 // Send sends a request and returns the response. The error is a *DialError if nothing was
 // sent. If it is a *BrokenConnectionError or the error of ctx, the request may have run.
 func (v *Invoker) Send(ctx context.Context, r *Request) (response *Response, err error) {
@@ -146,10 +177,17 @@
 		}
 		return nil, &BrokenConnectionError{Cause: err}
 	}
+	v.recordAnswer()
 	v.release(c)
 	return response, nil
 }
 
+func (v *Invoker) recordAnswer() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.answeredAt = time.Now()
+}
+
 // Probe opens a connection and keeps it for a later request. It returns a *DialError if the
 // server accepts none.
 func (v *Invoker) Probe(ctx context.Context) error {
