--- a/internal/prover/call_test.go
+++ b/internal/prover/call_test.go
@@ -20,6 +20,9 @@
 	service  string
 	path     string
 	body     string
+	// request names the request of which the call is an attempt, as recorder.LogicalRequest
+	// returns it; empty names a new one.
+	request string
 	// idempotencyKey is sent as the Idempotency-Key header; empty sends none.
 	idempotencyKey string
 	// timeout is callTimeout if it is 0.
@@ -35,6 +38,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	serial := strconv.Itoa(n.deployment.recorder.NextSerial())
+	if c.request != "" {
+		serial = c.request + "#" + serial
+	}
 	now := time.Now()
 	record := recorder.Call{
 		AttemptID:      serial,
--- a/internal/prover/once_test.go
+++ b/internal/prover/once_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/uuid"
 
+	"github.com/flamingotack/flamingotack/internal/checker"
 	"github.com/flamingotack/flamingotack/internal/exchanger"
 	"github.com/flamingotack/flamingotack/internal/recorder"
 )
@@ -15,12 +18,14 @@
 // different nodes until it is answered, and returns the last call.
 func (d *deployment) sendBooking(caller, turn int) (last recorder.Call) {
 	key := uuid.Must(uuid.NewV7()).String()
+	request := strconv.Itoa(d.recorder.NextSerial())
 	for try := range 4 {
 		last = d.nodes[(caller+turn+try)%len(d.nodes)].send(call{
 			customer:       customerA,
 			service:        "bookdesk",
 			path:           "/book",
 			body:           fmt.Sprint(caller, turn),
+			request:        request,
 			idempotencyKey: key,
 			timeout:        2 * time.Second,
 		})
@@ -31,6 +36,27 @@
 	return last
 }
 
+// TestRepeatedBookingGetsItsAnswer guards against a check that takes the answer that is kept for an
+// idempotency key for that of another booking, and against one that takes another's for its own.
+func TestRepeatedBookingGetsItsAnswer(t *testing.T) {
+	d := newStandardDeployment(t, customerA)
+	send := func(request, key string) recorder.Call {
+		return d.nodes[0].send(call{customer: customerA, service: "bookdesk", path: "/book", body: request, request: request, idempotencyKey: key, timeout: 2 * time.Second})
+	}
+	first, second := send("first", "key-1"), send("first", "key-1")
+	if !answered(first) || !answered(second) || first.AnswerChainPath != second.AnswerChainPath {
+		t.Errorf("got answers of %q and %q, want one answer for both", first.AnswerChainPath, second.AnswerChainPath)
+	}
+	d.verifyGuarantees()
+	foreign := send("second", "key-2")
+	foreign.AnswerChainPath = first.AnswerChainPath
+	d.recorder.RecordCall(foreign)
+	want := fmt.Sprintf("request %s got the answer of %s", foreign.AttemptID, first.AnswerChainPath)
+	if got := fmt.Sprint(checker.Verify(d.recorder.History(), checker.DefaultBounds())); !strings.Contains(got, want) {
+		t.Errorf("got %s, want a report of %q", got, want)
+	}
+}
+
 // A booking runs at most once although nodes are killed while bookings run,
 // connections go silent, and callers retry their bookings through other nodes.
 func TestBookingRunsAtMostOnceWhileNodesAreKilled(t *testing.T) {
