--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -350,3 +350,38 @@
 		t.Errorf("got %d active admissions, want 0", f.forwarder.activeAdmissions)
 	}
 }
+
+// TestRequestsThatEndWithTheNode guards against an answer that names another reason than the stop of
+// the node for a request that did not run because of it, such as a rate that the customer has not
+// exceeded, and against a promise for one that may have run.
+func TestRequestsThatEndWithTheNode(t *testing.T) {
+	tests := []struct {
+		name    string
+		tokens  int
+		refusal *exchanger.Refusal
+		want    int
+	}{
+		{"waited for a token", 0, nil, http.StatusServiceUnavailable},
+		{"waited in a queue", 1, exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonCanceled, "the caller went away"), http.StatusServiceUnavailable},
+		{"may have run", 1, exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonCanceled, "the request was canceled while it ran"), http.StatusBadGateway},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.rateLimiter.tokens, f.forwarder.refusal = tt.tokens, tt.refusal
+			ctx, stop := context.WithCancelCause(t.Context())
+			stop(exchanger.ErrStopping)
+			httpRequest, err := http.ReadRequest(bufio.NewReader(strings.NewReader("GET /view/x HTTP/1.1\r\nHost: a\r\nAttempt: 1\r\nAuthorization: Bearer k1\r\n\r\n")))
+			if err != nil {
+				t.Fatal(err)
+			}
+			response := f.Handle(ctx, &acceptor.Request{Request: httpRequest, ArrivedAt: time.Now()})
+			if response.Status != tt.want {
+				t.Errorf("got status %d, want %d", response.Status, tt.want)
+			}
+			if got := response.Header.Get("Retry-After") != ""; got != (tt.want == http.StatusServiceUnavailable) {
+				t.Errorf("got Retry-After %t with status %d", got, response.Status)
+			}
+		})
+	}
+}
--- a/internal/guardian/availability.go
+++ b/internal/guardian/availability.go
@@ -135,7 +135,7 @@
 	id := response.Header.Get(g.HeaderNames.Instance)
 	warmup, err := parseWarmup(response.Header.Get(g.HeaderNames.Warmup))
 	if err != nil {
-		g.Logger.Warnf("health check of backend server %s failed: %v", id, err)
+		g.handleFailedCheck(err)
 		return false
 	}
 	g.mu.Lock()
@@ -152,16 +152,15 @@
 	return !g.server.NeedsCheck(now)
 }
 
-// handleFailedCheck handles a health check without an answer. A server that may have started anew
-// and refuses the connection needs another one before it gets calls.
+// handleFailedCheck handles a health check without a usable answer. A server that refuses the
+// connection gets no calls before another one.
 func (g *Guardian) handleFailedCheck(err error) {
-	g.Logger.Warnf("health check failed: %v", err)
-	if !isConnectionRefused(err) {
-		return
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.server.MarkUnknown()
+	g.Logger.Warnf("health check of backend server %s failed: %v", g.server.LastHeartbeat.ID, err)
+	if isConnectionRefused(err) {
+		g.server.MarkUnknown()
+	}
 	g.applyState()
 }
 
--- a/internal/guardian/serverstate.go
+++ b/internal/guardian/serverstate.go
@@ -27,7 +27,8 @@
 	// MaxWarmup is the longest warm-up that a heartbeat may tell.
 	MaxWarmup = time.Hour
 	// unresolvedWarmup is how long a server counts as cold at least if it may have started anew.
-	unresolvedWarmup = time.Second
+	// It is longer than the time between two health checks.
+	unresolvedWarmup = 3 * time.Second
 	// maxWarmupDifference is how much earlier a heartbeat may end the warm-up than the last
 	// health check without being disputed. Answers take that long to arrive.
 	maxWarmupDifference = 500 * time.Millisecond
--- a/internal/linker/reply_test.go
+++ b/internal/linker/reply_test.go
@@ -101,3 +101,56 @@
 		})
 	}
 }
+
+// TestStoppingNodeLearnsWhetherCallsRan guards against a node that stops and can't tell its callers
+// whether their calls have run elsewhere.
+func TestStoppingNodeLearnsWhetherCallsRan(t *testing.T) {
+	tests := []struct {
+		name    string
+		refusal *exchanger.Refusal
+		// silent says that the other node does not answer while the test runs.
+		silent bool
+		want   exchanger.Ran
+	}{
+		{"waits in the queue of the other node", exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonCanceled, "left"), false, exchanger.RanNo},
+		{"runs on the other node", exchanger.Unknown(http.StatusBadGateway, exchanger.ReasonCanceled, "left"), false, exchanger.RanUnknown},
+		{"no answer", exchanger.NotRun(http.StatusServiceUnavailable, exchanger.ReasonCanceled, "left"), true, exchanger.RanUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a, b := startPair(t)
+			running := make(chan struct{})
+			b.run = func(ctx context.Context, _ *exchanger.Call) (*exchanger.Reply, *exchanger.Refusal) {
+				close(running)
+				<-ctx.Done()
+				if tt.silent {
+					<-t.Context().Done()
+				}
+				return nil, tt.refusal
+			}
+			ctx, stop := context.WithCancelCause(t.Context())
+			go func() {
+				<-running
+				stop(exchanger.ErrStopping)
+			}()
+			_, refusal := a.Send(ctx, "b", newCall(10*time.Second))
+			if refusal == nil || refusal.Ran != tt.want {
+				t.Errorf("got refusal %v, want ran %s", refusal, tt.want)
+			}
+		})
+	}
+}
+
+// TestCanceledPartOfCallIsAnswered guards against a call that is canceled before all of its parts
+// have arrived, and whose caller does not learn that it has not run.
+func TestCanceledPartOfCallIsAnswered(t *testing.T) {
+	a, _ := startPair(t)
+	k := a.link("b")
+	number, e := k.beginExchange(&exchange{hasDataFrames: true})
+	c := newCall(10 * time.Second)
+	c.Body = make([]byte, 2*maxFrameBodyBytes)
+	e.session.enqueue(callFrames(number, c, time.Now())[0], &framer.Frame{Number: number, Cancel: true})
+	if r, ended := e.await(nil, 10*time.Second); !ended || r.refusal == nil || r.refusal.Ran != exchanger.RanNo {
+		t.Errorf("got ended %t, refusal %v, want a refusal of a call that has not run", ended, r.refusal)
+	}
+}
