Ask for the continuity of a server only where it has a warm-up rate

Cause: the first call after a silence looked at a connection, a system call, before it was known whether the server needs a warm-up. Measured: the tests of guardian pass.

--- a/internal/guardian/continuity.go
+++ b/internal/guardian/continuity.go
@@ -16,17 +16,19 @@
 // connection is left that shows that the server has not started anew. While calls run, their
 // connections break at a restart.
 func (g *Guardian) verifyContinuity() {
-	if !g.queue.isQuiet() || g.Backend.SinceLastAnswer() < minRestartTime || g.sinceHeartbeat() < minRestartTime || g.Backend.HasLiveConn() {
+	if !g.queue.isQuiet() || !g.mayHaveRestarted() || g.Backend.HasLiveConn() {
 		return
 	}
 	g.suspectRestart("no connection to it is left")
 }
 
-// sinceHeartbeat returns the time since the last heartbeat that counted.
-func (g *Guardian) sinceHeartbeat() time.Duration {
+// mayHaveRestarted reports whether the server needs a warm-up and has had the time for a restart
+// since its last answer and its last heartbeat.
+func (g *Guardian) mayHaveRestarted() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.Clock.Now().Sub(g.server.heartbeatAt)
+	sinceHeartbeat := g.Clock.Now().Sub(g.server.heartbeatAt)
+	return g.warmupRatePerSecond > 0 && min(sinceHeartbeat, g.Backend.SinceLastAnswer()) >= minRestartTime
 }
 
 // suspectRestart makes calls wait for a health check, as the server may have started anew and be
--- a/internal/guardian/departures.go
+++ b/internal/guardian/departures.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// bind reports whether the incarnation of the heartbeat has left.
-func (d *departures) bind(h Heartbeat) bool {
+// covers reports whether the incarnation of the heartbeat has left.
+func (d *departures) covers(h Heartbeat) bool {
 	return slices.ContainsFunc(d.list, func(known departure) bool {
 		return known.id == h.ID && h.StartUnixMillis <= known.startsThrough
 	})
--- a/internal/guardian/serverstate.go
+++ b/internal/guardian/serverstate.go
@@ -284,7 +284,7 @@
 	s.endSuspicion()
 	s.unconfirmedHeartbeats = 1
 	switch {
-	case s.departures.bind(h):
+	case s.departures.covers(h):
 		s.Phase = PhaseLeft
 	case h.Draining:
 		s.Phase = PhaseDraining
