Grant memory that an evicted holder releases during the search for more

What callers saw: an answer that had run ended as 502 for lack of memory although an evicted caller had just released enough.

Cause: a release took the bytes from their holder before it took them from the account, and a reservation did not look again after a search that found no holder to wait for. In between, the bytes counted as used and as held by nobody, and the reservation was refused.

Change: the account comes first, and a reservation that finds nobody to wait for looks once more whether the bytes fit.

--- a/internal/accountant/account.go
+++ b/internal/accountant/account.go
@@ -191,8 +191,10 @@
 	if h.account == nil || bytes == 0 {
 		return
 	}
-	h.heldBytes.Add(-bytes)
+	// In this order, bytes that are free never count as used and held by nobody, which would
+	// refuse a reservation for which they suffice.
 	h.account.usedBytes.Add(-bytes)
+	h.heldBytes.Add(-bytes)
 }
 
 // Transfer passes reserved bytes to another holder of the same account.
@@ -228,10 +230,16 @@
 		used := a.usedBytes.Load()
 		if used+bytes > limitBytes {
 			a.refusals.Add(1)
-			if bytes > limitBytes || !a.evictStalled(now, used+bytes-limitBytes) {
+			switch {
+			case bytes > limitBytes:
+				return Refused
+			case a.evictStalled(now, used+bytes-limitBytes):
+				return Pending
+			case a.usedBytes.Load()+bytes > limitBytes:
 				return Refused
 			}
-			return Pending
+			// Evicted holders have released enough in the meantime.
+			continue
 		}
 		if a.usedBytes.CompareAndSwap(used, used+bytes) {
 			h.heldBytes.Add(bytes)
