Look again for a running call before a restart of the server is suspected

Cause: of two first calls, one took the open connection between the other's look at the queue and its look at the connections. Change: the queue is looked at again before a restart is suspected; a call that runs then has found the connection.

--- a/internal/guardian/continuity.go
+++ b/internal/guardian/continuity.go
@@ -16,10 +16,18 @@
 // connection is left that shows that the server has not started anew. While calls run, their
 // connections break at a restart.
 func (g *Guardian) verifyContinuity() {
-	if !g.queue.isQuiet() || !g.mayHaveRestarted() || g.Backend.HasLiveConn() {
+	if !g.isFirstCall() || g.Backend.HasLiveConn() {
 		return
 	}
-	g.suspectRestart("no connection to it is left")
+	// Another call that found the connection may have taken it in the meantime.
+	if g.isFirstCall() {
+		g.suspectRestart("no connection to it is left")
+	}
+}
+
+// isFirstCall reports whether a call is the first after a silence that leaves time for a restart.
+func (g *Guardian) isFirstCall() bool {
+	return g.queue.isQuiet() && g.mayHaveRestarted()
 }
 
 // mayHaveRestarted reports whether the server needs a warm-up and has had the time for a restart
